--- /dev/null
+++ b/ochrecourse/__init__.py
@@ -0,0 +1,1 @@
+"""ochrecourse: orders and paces the I/O of many volumes over storage nodes."""
--- /dev/null
+++ b/ochrecourse/decide.py
@@ -0,0 +1,614 @@
+"""Every decision of the gateway: which held job leaves next and where to, which is denied or written off.
+
+Make one `Host` from the start settings, report what is seen (`list_came`, `job_came`, `leg_ended`,
+`stream_began`, `job_gone`), which only updates what is known, then call `decide` until it returns None, and
+come back at `next_due` at the latest. Types and calls are in interface.py, the mechanism in docs/design.md.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable, Mapping, Sequence
+from heapq import heappop, heappush
+from typing import Any
+
+from ochrecourse.interface import (
+    Answer,
+    Ending,
+    Health,
+    Job,
+    Leg,
+    LegEnd,
+    ListCall,
+    ListKind,
+    MissingValue,
+    NodeEntry,
+    Verdict,
+)
+
+MS = 1_000_000  # ns in a millisecond
+SECOND = 1_000 * MS  # ns in a second
+QUEUE = 32  # jobs out at one node, shared evenly by its volumes; the paper's queue length
+TRIMMED = 8  # jobs out in total while a recent volume is empty; the paper's beta
+CAPACITY = 10.0  # units out above which a node counts as loaded; the paper's count of channels
+HISTORY = 128  # jobs sent to a node that tell which volumes are recent; the paper's alpha
+SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
+FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
+SOON = 0.5  # share of the promised time an answer may take before the window shrinks; the rest is spent here
+CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
+SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
+RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
+PAUSE = 0.1  # share of the promised time before a further leg, doubled each time; leaves time for all of them
+BEAT = 100 * MS  # ns between periodic work; well under any time-out
+ASK_AGAIN = SECOND  # ns before the list is asked for again after a failure; seldom enough not to load it
+FIRST_LOOK = 20 * MS  # ns per unit that a job is expected to take before any answer was seen
+
+UNSEEN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)  # endings that prove the leg never ran
+UNSURE = (Ending.TIMEOUT, Ending.RESET, Ending.WITHDRAWN)  # endings after which the leg may run on
+
+
+class Product:
+    """What the settings say of one product."""
+
+    def __init__(self, host: Host, at: str) -> None:
+        self.promised = round(host.number(at + "Aim") * MS)
+        self.effect = host.text(at + "Effect")
+        self.group = host.text(at + "KeyScope", "all")
+        self.window = round(host.number(at + "Window", 0.0) * MS)
+        self.in_order = host.text(at + "SerialByKey", "false") == "true"
+        self.pace = float(FIRST_LOOK)  # ns per unit its jobs were seen to take
+
+
+class Volume:
+    """A volume as this gateway knows it: its plan's figures and the part of them that is this gateway's."""
+
+    def __init__(self, host: Host, plan: int, gateways: int, now: int) -> None:
+        at = f"Policies.{plan}."
+        self.weight = host.number(at + "Weight", 1.0) or 1.0
+        self.rate = host.number(at + "Rate", 0.0)
+        self.reserve = host.number(at + "Reserve", 0.0)
+        self.burst = self.reserve + host.number("FamilyInfo.UnitsTop", 1.0)
+        self.share = 1.0 / max(1, gateways)
+        self.left = self.burst * self.share  # units of the reserve not yet used
+        self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
+        self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
+        # Guards against passing the limit after a restart: what the last life drew is unknown.
+        self.store = 0.0
+        self.at = now
+        self.own = self.used = 0.0  # units a second served here and everywhere
+
+    def refill(self, now: int) -> None:
+        past, self.at = (now - self.at) / SECOND, now
+        self.left = min(self.burst * self.share, self.left + self.reserve * self.share * past)
+        self.store = min(self.depth, self.store + self.limit * past)
+        self.own *= 0.5 ** (past * SECOND / RATE_HALF)
+
+    def served(self, units: float, used: float) -> None:
+        """The late totals tell which part of the volume comes through here; else the split stays even."""
+        self.own += units * 0.69 * SECOND / RATE_HALF
+        if used >= 0:
+            self.used += SMOOTH * (used * self.rate - self.used)
+            if self.used > 0:
+                self.share += SMOOTH * (min(1.0, self.own / self.used) - self.share)
+
+
+class Held:
+    """A job that this gateway took and what became of it so far."""
+
+    def __init__(self, job: Job, product: Product, volume: Volume, now: int) -> None:
+        self.job, self.product, self.volume = job, product, volume
+        self.promised = min(now + product.promised, job.client_timeout)
+        self.inside = False  # its units are inside the reserve
+        self.legs = 0
+        self.node: Node | None = None  # where it waits or has a leg out
+        self.waiting = self.out = self.over = self.streaming = False
+        self.ordered = product.in_order and job.key != 0
+        self.turn = not self.ordered  # its key lets it go
+        self.not_before = 0
+        self.ran: tuple[int, int, int] | None = None  # time, shard, zone of the first leg that may have run
+        self.sent = 0
+
+
+class Flow:
+    """One volume at one node: its bound, what it has out, and its held jobs inside and beyond the reserve."""
+
+    def __init__(self, volume: Volume, bound: float) -> None:
+        self.volume, self.bound = volume, bound
+        self.out = 0
+        self.units = self.before = 0.0  # aggressiveness now and before its last change
+        self.score, self.score_at = 0.0, 0
+        self.finish = 0.0  # virtual time at which its last job beyond the reserve ends
+        self.queues: tuple[deque[Held], deque[Held]] = (deque(), deque())
+        self.listed = [False, False]
+        self.held = 0
+        self.keys: Counter[int] = Counter()
+
+
+class Node:
+    """A storage node as this gateway sees it."""
+
+    def __init__(self, entry: NodeEntry) -> None:
+        self.id, self.shard, self.zone = entry.node, entry.shard, entry.zone
+        self.health, self.started = Health.GONE, -1
+        self.flows: dict[int, Flow] = {}
+        self.ready: list[tuple[float, int, int, int]] = []  # tag, 0 inside or 1 beyond, number, volume
+        self.out = self.busy_flows = 0
+        self.units = self.time = 0.0  # units out, and the virtual time
+        self.split = float(QUEUE)
+        self.trimmed = False
+        self.history: deque[int] = deque()
+        self.recent: Counter[int] = Counter()
+        self.window = FIRST_WINDOW
+        self.drag = self.good = 1.0  # answer times against the usual ones, share of good answers
+        self.cut_at = self.cold_until = 0
+        self.cold: deque[tuple[int, float]] = deque()  # while cold: units sent, and less the answered
+        self.credit = 0.0
+
+    def total(self) -> float:
+        return min(float(TRIMMED if self.trimmed else QUEUE), self.window)
+
+
+class Turn:
+    """The jobs of one key in order, and until when the key rests."""
+
+    def __init__(self) -> None:
+        self.jobs: deque[Held] = deque()
+        self.rest = 0
+
+
+class Host:
+    """The decisions of one gateway."""
+
+    def __init__(self, values: Mapping[str, str], seed: int, now: int) -> None:
+        self.values = values
+        self.chance = seed
+        self.products = [Product(self, f"Classes.{i}.") for i in range(int(self.number("Classes.count")))]
+        self.gateways = max(1.0, self.number("Instances", 1.0))
+        self.fall = round(self.number("Safety.Fall", 0.0) * MS)
+        self.cold_span = round(self.number("Safety.Cold", 0.0) * MS)
+        self.cold_units = self.number("FamilyInfo.ColdUnits", 0.0) / self.gateways
+        self.settle = round(self.number("Safety.OrderSettle", 0.0) * MS)
+        self.edge = 2 * round(self.number("Period", 1.0) * MS)
+        self.nodes: dict[int, Node] = {}
+        self.volumes: dict[int, Volume] = {}
+        self.jobs: dict[int, Held] = {}
+        self.turns: dict[int, Turn] = {}
+        self.review: deque[Held] = deque()  # jobs of which it must be settled what comes next
+        self.calls: deque[ListCall] = deque()
+        self.touched: dict[int, None] = {}  # nodes at which something may leave
+        self.dues: list[tuple[int, int, Callable[[Any, int], None], Any]] = []
+        self.count = 0
+        self.beat = now + BEAT
+        self.taken: deque[int] = deque()
+        self.further: deque[int] = deque()
+        if self.text("Discovery", "push") == "ask":
+            self.calls.append(ListCall.FOLLOW)
+
+    # --- what the settings hold ---
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self.values.get(name, default)
+        if value is None:
+            raise MissingValue(f"the settings lack {name}")
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        value = self.values.get(name)
+        if value is None and default is not None:
+            return default
+        try:
+            return float(self.text(name))
+        except ValueError:
+            raise MissingValue(f"the settings hold no number under {name}") from None
+
+    # --- what the host reports ---
+
+    def list_came(self, kind: ListKind, entries: Sequence[NodeEntry], now: int) -> None:
+        if kind is ListKind.FAILED:
+            self._due(now + ASK_AGAIN, self._ask, None)
+            return
+        if kind is not ListKind.DELTA:
+            named = {entry.node for entry in entries}
+            for node in self.nodes.values():
+                if node.id not in named:
+                    self._left(node)
+        for entry in entries:
+            node = self.nodes.setdefault(entry.node, Node(entry))
+            if entry.health is not Health.READY:
+                self._left(node, entry.health)
+                continue
+            back = node.started >= 0 and (node.health is Health.GONE or entry.started != node.started)
+            node.health, node.started = Health.READY, entry.started
+            if back or entry.started + self.cold_span > now > entry.started > 0:
+                # Guards against pushing over a node that starts: any return counts as a start, told or not.
+                fresh = entry.started if entry.started > 0 and node.cold_until < now else now
+                node.cold_until, node.window, node.cut_at = fresh + self.cold_span, 1.0, now
+            self.touched[node.id] = None
+
+    def job_came(self, job: Job, now: int) -> None:
+        volume = self.volumes.get(job.volume)
+        if volume is None:
+            volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, now)
+        held = self.jobs[job.id] = Held(job, self.products[job.product], volume, now)
+        volume.refill(now)
+        held.inside = volume.left >= job.units
+        volume.left -= job.units if held.inside else 0.0
+        self.taken.append(now)
+        if held.turn:
+            self.review.append(held)
+        else:
+            self.turns.setdefault(job.key, Turn()).jobs.append(held)
+            self._advance(job.key, now)
+        self._due(held.promised - self.edge, self._look, held)
+
+    def leg_ended(self, end: LegEnd, now: int) -> None:
+        held = self.jobs.get(end.job)
+        node = self.nodes.get(end.node)
+        if held is None or node is None or not held.out:
+            return
+        held.out = False
+        flow, units = node.flows[held.job.volume], held.job.units
+        flow.before, flow.units = flow.units, flow.units - units
+        flow.out -= 1
+        node.out -= 1
+        node.units -= units
+        node.busy_flows -= flow.out == 0
+        self._halve(node, flow)
+        if flow.bound < node.split and (node.units <= CAPACITY or node.busy_flows <= 1):
+            flow.bound = min(node.split, flow.bound + 1)
+        held.volume.refill(now)
+        good = end.ending is Ending.FULFILLED
+        held.volume.served(units if good else 0.0, end.volume_used)
+        self._learn(node, held, end, now)
+        if good and now < node.cold_until:
+            node.cold.append((now, -units))
+        if not good and end.ending not in UNSEEN and held.ran is None:
+            held.ran = (held.sent, node.shard, node.zone)
+        if end.last:
+            held.over = True
+        pause = held.product.promised * PAUSE * 2 ** (held.legs - 1)
+        held.not_before = now + round(pause)
+        if end.ending in UNSURE and held.ordered:
+            self.turns[held.job.key].rest = now + self.settle
+        self._list_flow(node, held.job.volume)
+        self._forget(node, held.job.volume)
+        self.touched[node.id] = None
+        if held.over:
+            self._close(held, now)
+        else:
+            self.review.append(held)
+
+    def stream_began(self, job: int) -> None:
+        if job in self.jobs:
+            self.jobs[job].streaming = True
+
+    def job_gone(self, job: int) -> None:
+        held = self.jobs.get(job)
+        if held:
+            held.over = True
+            self.review.append(held)
+
+    # --- what the host pulls ---
+
+    def decide(self, now: int) -> Leg | Verdict | ListCall | None:
+        if now >= self.beat:
+            self.beat = now + BEAT
+            self._prune(now)
+        while self.dues and self.dues[0][0] <= now:
+            _, _, act, what = heappop(self.dues)
+            act(what, now)
+        if self.calls:
+            return self.calls.popleft()
+        while self.review:
+            verdict = self._settle(self.review.popleft(), now)
+            if verdict:
+                return verdict
+        while self.touched:
+            node = self.nodes[next(iter(self.touched))]
+            leg = self._leave(node, now)
+            if leg:
+                return leg
+            del self.touched[node.id]
+        return None
+
+    def next_due(self) -> int:
+        return min(self.beat, self.dues[0][0]) if self.dues else self.beat
+
+    # --- bookkeeping of what was seen ---
+
+    def _due(self, at: int, act: Callable[[Any, int], None], what: Any) -> None:
+        self.count += 1
+        heappush(self.dues, (at, self.count, act, what))
+
+    def _ask(self, _: None, now: int) -> None:
+        self.calls.append(ListCall.FOLLOW)
+
+    def _look(self, held: Held, now: int) -> None:
+        self.review.append(held)
+
+    def _poke(self, node: Node, now: int) -> None:
+        self.touched[node.id] = None
+
+    def _left(self, node: Node, health: Health = Health.GONE) -> None:
+        """Nothing new goes to a node that drains or is gone; what waits for it is looked at again."""
+        node.health = health
+        for flow in node.flows.values():
+            for queue in flow.queues:
+                for held in queue:
+                    if held.waiting:
+                        self._unhold(held)
+                        self.review.append(held)
+                queue.clear()
+
+    def _learn(self, node: Node, held: Held, end: LegEnd, now: int) -> None:
+        """How fast a node answers sets its window, which trims the total further than the paper does."""
+        product, units = held.product, held.job.units
+        good = end.ending is Ending.FULFILLED
+        node.good += SMOOTH * (good - node.good)
+        if good or end.ending is Ending.TIMEOUT:
+            if good:
+                product.pace += SMOOTH * (end.took / units - product.pace)
+            node.drag += SMOOTH * (end.took / (product.pace * units) - node.drag)
+        large = max(1.0, units / self.number("FamilyInfo.UsualUnits", 1.0))
+        if end.ending is Ending.ERROR or end.ending is Ending.MOOT:
+            return
+        if not good or end.took > SOON * product.promised * large:
+            # Guards against answers that drift late: one cut for all legs that were out together.
+            if held.sent >= node.cut_at:
+                node.window, node.cut_at = max(1.0, node.window * CUT), now
+        elif node.out + 2 > node.window:
+            node.window = min(float(QUEUE), node.window + 1 / node.window)
+
+    def _halve(self, node: Node, flow: Flow) -> None:
+        if node.busy_flows > 1 and node.units > CAPACITY and flow.units > node.units / node.busy_flows:
+            flow.bound = max(1.0, flow.bound / 2)
+
+    def _forget(self, node: Node, volume: int) -> None:
+        flow = node.flows.get(volume)
+        if flow and not flow.held and not flow.out and not node.recent[volume]:
+            del node.flows[volume], node.recent[volume]
+
+    def _prune(self, now: int) -> None:
+        since = now - round(self.number("Safety.CountedOver", 0.0) * MS)
+        for times in (self.taken, self.further):
+            while times and times[0] <= since:
+                times.popleft()
+
+    def _advance(self, key: int, now: int) -> None:
+        """Lets a key's next job go once those before are over, their legs ended and the key rested."""
+        turn = self.turns.get(key)
+        if turn is None:
+            return
+        while turn.jobs and turn.jobs[0].over and not turn.jobs[0].out:
+            turn.jobs.popleft()
+        if now < turn.rest:
+            self._due(turn.rest, self._advance, key)
+        elif not turn.jobs:
+            del self.turns[key]
+        elif not turn.jobs[0].turn:
+            turn.jobs[0].turn = True
+            self.review.append(turn.jobs[0])
+
+    def _close(self, held: Held, now: int) -> None:
+        self.jobs.pop(held.job.id, None)
+        if held.ordered:
+            self._advance(held.job.key, now)
+
+    # --- what becomes of one job ---
+
+    def _settle(self, held: Held, now: int) -> Verdict | None:
+        """Answers a job that can't be fulfilled in time any more at once; holds the others at their node."""
+        if held.over:
+            if held.waiting:
+                self._unhold(held)
+            if not held.out:
+                self._close(held, now)
+            return None
+        if held.out or held.streaming:
+            return None
+        left = held.promised - now - self.edge
+        if left <= 0 or held.not_before - now >= left:
+            return self._answer(held, now)
+        if not held.turn:
+            return None
+        if not held.waiting and held.legs and not self._again(held, now):
+            return self._answer(held, now)
+        if now < held.not_before:
+            self._due(held.not_before, self._look, held)
+            return None
+        node = held.node if held.waiting else self._place(held, now)
+        if node is None:
+            return self._answer(held, now)
+        needs = round(node.drag * held.product.pace * held.job.units)
+        if needs > left and node.out:
+            return self._answer(held, now)
+        if not held.waiting:
+            self._hold(held, node, now)
+        if needs <= left:
+            self._due(held.promised - self.edge - needs + 1, self._look, held)
+        return None
+
+    def _answer(self, held: Held, now: int) -> Verdict:
+        """A denial says that nothing ran or that a repeat is harmless; else the job is written off."""
+        held.over = True
+        if held.waiting:
+            self._unhold(held)
+        product = held.product
+        repeats = product.effect == "safe" or (product.effect == "keyed" and product.group == "all")
+        denied = held.ran is None or repeats
+        self._close(held, now)
+        advice = self.text("Limits.RetryAfter", "false") == "true"
+        away = round(self.number("Limits.MaxRetryAfter", 0.0) * MS) if advice and denied else 0
+        return Verdict(held.job.id, Answer.DENIED if denied else Answer.WRITTEN_OFF, away)
+
+    def _again(self, held: Held, now: int) -> bool:
+        """Whether a job may have a further leg: by its payoff, by what may have run, and by the budget."""
+        most = int(self.number("Limits.MaxAttempts", 1.0))
+        worth = 1.0 if held.inside else self.number("FamilyInfo.FairWorth", 1.0)
+        if held.legs >= min(most, 1 + max(1, round((most - 1) * worth))):
+            return False
+        if held.ran is not None:
+            if held.product.effect == "unsafe":
+                return False
+            if held.product.effect == "keyed" and now + self.edge >= held.ran[0] + held.product.window:
+                return False
+        if "Safety.ExtraRatio" not in self.values:
+            return True
+        self._prune(now)
+        free = self.number("Safety.ExtraFloor", 0.0) + self.number("Safety.ExtraRatio") * len(self.taken)
+        return len(self.further) + 1 <= free
+
+    def _place(self, held: Held, now: int) -> Node | None:
+        """The node of the job's shard; new objects take turns, weighted by what each node managed."""
+        shard, zone = held.job.shard, -1
+        if held.ran is not None and held.product.effect == "keyed":
+            if held.product.group == "cell":
+                shard = held.ran[1]
+            elif held.product.group == "zone":
+                zone = held.ran[2]
+        best: Node | None = None
+        whole = 0.0
+        for node in self.nodes.values():
+            fits = zone in (-1, node.zone) and shard in (-1, node.shard)
+            if node.health is not Health.READY or not fits:
+                continue
+            weight = node.window * node.good / max(node.drag, 0.1)
+            node.credit += weight
+            whole += weight
+            if best is None or node.credit > best.credit:
+                best = node
+        if best is not None:
+            best.credit -= whole
+        return best
+
+    # --- the mechanism: bounds, tags, trimming ---
+
+    def _hold(self, held: Held, node: Node, now: int) -> None:
+        volume, key = held.job.volume, held.job.key
+        flow = node.flows.get(volume)
+        if flow is None:
+            flow = node.flows[volume] = Flow(held.volume, 0.0)
+            node.split = max(1.0, QUEUE / len(node.flows))
+            for each, other in node.flows.items():
+                other.bound = node.split
+                self._list_flow(node, each)
+        flow.score *= 0.5 ** ((now - flow.score_at) / SCORE_HALF)
+        flow.score_at = now
+        flow.score += 1 if key and flow.keys[key] else -1
+        if flow.score > 0 and flow.units > flow.before:
+            flow.bound = max(1.0, flow.bound - 1)
+        elif flow.score > 0 and flow.units < flow.before:
+            flow.bound = min(float(QUEUE), flow.bound + 1)
+        queue = flow.queues[0 if held.inside else 1]
+        if held.legs:
+            queue.appendleft(held)
+        else:
+            queue.append(held)
+        held.node, held.waiting = node, True
+        flow.held += 1
+        flow.keys[key] += 1
+        self._list_flow(node, volume)
+        self.touched[node.id] = None
+
+    def _unhold(self, held: Held) -> None:
+        assert held.node is not None
+        flow = held.node.flows[held.job.volume]
+        held.waiting = False
+        flow.held -= 1
+        flow.keys[held.job.key] -= 1
+        if not flow.keys[held.job.key]:
+            del flow.keys[held.job.key]
+
+    def _list_flow(self, node: Node, volume: int) -> None:
+        """Lists a volume with held jobs under its bound; inside the reserve none waits for its own tags."""
+        flow = node.flows.get(volume)
+        if flow is None or flow.out >= flow.bound:
+            return
+        for rank in (0, 1):
+            if flow.queues[rank] and not flow.listed[rank]:
+                self.count += 1
+                tag = max(node.time, flow.finish) if rank else node.time
+                heappush(node.ready, (tag, rank, self.count, volume))
+                flow.listed[rank] = True
+
+    def _leave(self, node: Node, now: int) -> Leg | None:
+        """The held job with the least tag, as far as the bounds, the limits and a cold start let it."""
+        if node.health is not Health.READY:
+            return None
+        while node.ready and (not node.out or node.out + 1 <= node.total()):
+            tag, rank, _, volume = node.ready[0]
+            flow = node.flows.get(volume)
+            queue = flow.queues[rank] if flow else None
+            while queue and not queue[0].waiting:
+                queue.popleft()
+            if flow and queue and flow.out < flow.bound:
+                held = queue[0]
+                wait = self._limited(held, now)
+                if not wait:
+                    wait = self._too_cold(node, held.job.units, now)
+                    if wait:
+                        self._due(now + wait, self._poke, node)
+                        return None
+                    heappop(node.ready)
+                    flow.listed[rank] = False
+                    return self._send(node, flow, rank, tag, queue.popleft(), now)
+                self._due(now + wait, self._refilled, (node, volume))
+            heappop(node.ready)
+            if flow:
+                flow.listed[rank] = False
+                self._forget(node, volume)
+        return None
+
+    def _refilled(self, at: tuple[Node, int], now: int) -> None:
+        self._list_flow(*at)
+        self.touched[at[0].id] = None
+
+    def _send(self, node: Node, flow: Flow, rank: int, tag: float, held: Held, now: int) -> Leg:
+        job, volume = held.job, held.job.volume
+        self._unhold(held)
+        node.time = max(node.time, tag)
+        if rank:
+            flow.finish = tag + job.units / flow.volume.weight
+        if not held.legs:
+            flow.volume.store -= job.units
+        else:
+            self.further.append(now)
+        flow.before, flow.units = flow.units, flow.units + job.units
+        node.busy_flows += flow.out == 0
+        flow.out += 1
+        node.out += 1
+        node.units += job.units
+        node.trimmed = not flow.held and node.recent[volume] > 0
+        node.history.append(volume)
+        node.recent[volume] += 1
+        if len(node.history) > HISTORY:
+            oldest = node.history.popleft()
+            node.recent[oldest] -= 1
+            self._forget(node, oldest)
+        if now < node.cold_until:
+            node.cold.append((now, job.units))
+        self._halve(node, flow)
+        self._list_flow(node, volume)
+        held.out, held.sent, held.node = True, now, node
+        held.legs += 1
+        return Leg(job.id, held.legs - 1, node.id, 0)
+
+    def _limited(self, held: Held, now: int) -> int:
+        """Time until the volume's limit lets the job go; each gateway keeps to its even part of the store."""
+        volume = held.volume
+        if not volume.limit or held.legs:
+            return 0
+        volume.refill(now)
+        lack = held.job.units - volume.store
+        return max(MS, round(lack / volume.limit * SECOND)) if lack > 0 else 0
+
+    def _too_cold(self, node: Node, units: float, now: int) -> int:
+        """Guards against pushing over a cold node: sends stay under a sure part and what it answered."""
+        if now >= node.cold_until:
+            node.cold.clear()
+            return 0
+        while node.cold and node.cold[0][0] <= now - self.fall:
+            node.cold.popleft()
+        if not node.cold or sum(each for _, each in node.cold) + units <= self.cold_units:
+            return 0
+        return node.cold[0][0] + self.fall - now + 1
