A leg unanswered past its promised time stops counting as out

Cause: nodes lose a share of answers; their legs kept slots to the client timeout (up to 5 s), so two or three lost legs jammed a node's total. Now a leg stops counting after max(promised time, 4 usual answers) and the window shrinks; retriable legs time out then too. Should also catch hung nodes and silent ones; could harm where nodes are honestly ten times slower, as work goes on after a time-out.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -35,6 +35,7 @@
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
 SOON = 0.5  # share of the promised time an answer may take before the window shrinks; the rest is spent here
+LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
@@ -101,7 +102,7 @@
         self.inside = False  # its units are inside the reserve
         self.legs = 0
         self.node: Node | None = None  # where it waits or has a leg out
-        self.waiting = self.out = self.over = self.streaming = False
+        self.waiting = self.out = self.counted = self.over = self.streaming = False
         self.ordered = product.in_order and job.key != 0
         self.turn = not self.ordered  # its key lets it go
         self.not_before = 0
@@ -247,17 +248,9 @@
         if held is None or node is None or not held.out:
             return
         held.out = False
-        flow, units = node.flows[held.job.volume], held.job.units
-        flow.before, flow.units = flow.units, flow.units - units
-        flow.out -= 1
-        node.out -= 1
-        node.units -= units
-        node.busy_flows -= flow.out == 0
-        self._halve(node, flow)
-        if flow.bound < node.split and (node.units <= CAPACITY or node.busy_flows <= 1):
-            flow.bound = min(node.split, flow.bound + 1)
+        units, good = held.job.units, end.ending is Ending.FULFILLED
+        self._free(held)
         held.volume.refill(now)
-        good = end.ending is Ending.FULFILLED
         held.volume.served(units if good else 0.0, end.volume_used)
         self._learn(node, held, end, now)
         if good and now < node.cold_until:
@@ -270,9 +263,6 @@
         held.not_before = now + round(pause)
         if end.ending in UNSURE and held.ordered:
             self.turns[held.job.key].rest = now + self.settle
-        self._list_flow(node, held.job.volume)
-        self._forget(node, held.job.volume)
-        self.touched[node.id] = None
         if held.over:
             self._close(held, now)
         else:
@@ -340,6 +330,37 @@
                         self.review.append(held)
                 queue.clear()
 
+    def _free(self, held: Held) -> None:
+        """A leg no longer counts as out: the bounds react as to an answer."""
+        node, volume = held.node, held.job.volume
+        if node is None or not held.counted:
+            return
+        held.counted = False
+        flow = node.flows[volume]
+        flow.before, flow.units = flow.units, flow.units - held.job.units
+        flow.out -= 1
+        node.out -= 1
+        node.units -= held.job.units
+        node.busy_flows -= flow.out == 0
+        self._halve(node, flow)
+        if flow.bound < node.split and (node.units <= CAPACITY or node.busy_flows <= 1):
+            flow.bound = min(node.split, flow.bound + 1)
+        self._list_flow(node, volume)
+        self._forget(node, volume)
+        self.touched[node.id] = None
+
+    def _lost(self, leg: tuple[Held, int], now: int) -> None:
+        """Guards against legs that are never answered: they stop counting, the window shrinks."""
+        held, number = leg
+        if held.counted and held.legs == number:
+            self._shrink(held, now)
+            self._free(held)
+
+    def _shrink(self, held: Held, now: int) -> None:
+        node = held.node
+        if node and held.sent >= node.cut_at:  # one cut for all legs that were out together
+            node.window, node.cut_at = max(1.0, node.window * CUT), now
+
     def _learn(self, node: Node, held: Held, end: LegEnd, now: int) -> None:
         """How fast a node answers sets its window, which trims the total further than the paper does."""
         product, units = held.product, held.job.units
@@ -353,9 +374,7 @@
         if end.ending is Ending.ERROR or end.ending is Ending.MOOT:
             return
         if not good or end.took > SOON * product.promised * large:
-            # Guards against answers that drift late: one cut for all legs that were out together.
-            if held.sent >= node.cut_at:
-                node.window, node.cut_at = max(1.0, node.window * CUT), now
+            self._shrink(held, now)
         elif node.out + 2 > node.window:
             node.window = min(float(QUEUE), node.window + 1 / node.window)
 
@@ -419,7 +438,7 @@
         node = held.node if held.waiting else self._place(held, now)
         if node is None:
             return self._answer(held, now)
-        needs = round(node.drag * held.product.pace * held.job.units)
+        needs = self._needs(held, node)
         if needs > left and node.out:
             return self._answer(held, now)
         if not held.waiting:
@@ -589,9 +608,14 @@
             node.cold.append((now, job.units))
         self._halve(node, flow)
         self._list_flow(node, volume)
-        held.out, held.sent, held.node = True, now, node
+        held.out, held.counted, held.sent, held.node = True, True, now, node
         held.legs += 1
-        return Leg(job.id, held.legs - 1, node.id, 0)
+        patience = max(held.product.promised, LOST * self._needs(held, node))
+        self._due(now + patience, self._lost, (held, held.legs))
+        return Leg(job.id, held.legs - 1, node.id, patience if held.product.effect == "safe" else 0)
+
+    def _needs(self, held: Held, node: Node) -> int:
+        return round(node.drag * held.product.pace * held.job.units)
 
     def _limited(self, held: Held, now: int) -> int:
         """Time until the volume's limit lets the job go; each gateway keeps to its even part of the store."""
