Deny jobs of low payoff for their time at a node that gives up better ones

Cause: under demand past capacity every volume's jobs were given up alike, late in their wait, whatever they pay. Each node now keeps a payoff floor: it rises towards the payoff per time of jobs given up there and eases with each job denied under it; a new job under the floor is denied at arrival. Held jobs still leave by their tags, and an idle node takes any job. Should also catch hot volumes, plan bursts and slow nodes; could harm a product whose jobs are all dear, which an idle node alone then serves.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -39,6 +39,8 @@
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
+FLOOR_STEP = 0.05  # part of the way the payoff floor moves for each job given up; about twenty tell a trend
+FLOOR_EASE = 0.2  # the floor's fall for each job under it, against its rise; so the floor errs low
 PAUSE = 0.1  # share of the promised time before a further leg, doubled each time; leaves time for all of them
 BEAT = 100 * MS  # ns between periodic work; well under any time-out
 ASK_AGAIN = SECOND  # ns before the list is asked for again after a failure; seldom enough not to load it
@@ -53,6 +55,7 @@
 
     def __init__(self, host: Host, at: str) -> None:
         self.promised = round(host.number(at + "Aim") * MS)
+        self.points = host.number(at + "Points", 1.0)
         self.effect = host.text(at + "Effect")
         self.group = host.text(at + "KeyScope", "all")
         self.window = round(host.number(at + "Window", 0.0) * MS)
@@ -66,6 +69,7 @@
     def __init__(self, host: Host, plan: int, gateways: int, now: int) -> None:
         at = f"Policies.{plan}."
         self.weight = host.number(at + "Weight", 1.0) or 1.0
+        self.factor = host.number(at + "ValueFactor", 1.0)
         self.rate = host.number(at + "Rate", 0.0)
         self.reserve = host.number(at + "Reserve", 0.0)
         self.burst = self.reserve + host.number("FamilyInfo.UnitsTop", 1.0)
@@ -144,6 +148,7 @@
         self.cut_at = self.cold_until = 0
         self.cold: deque[tuple[int, float]] = deque()  # while cold: units sent, and less the answered
         self.credit = 0.0
+        self.floor = 0.0  # payoff for time under which a job is not worth its place here
 
     def total(self) -> float:
         return min(float(TRIMMED if self.trimmed else QUEUE), self.window)
@@ -439,9 +444,14 @@
         if node is None:
             return self._answer(held, now)
         needs = self._needs(held, node)
+        worth = self._density(held, node.flows.get(held.job.volume), node)
         if needs > left and node.out:
+            node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held, now)
         if not held.waiting:
+            if worth < node.floor and node.out:
+                node.floor -= node.floor * FLOOR_STEP * FLOOR_EASE
+                return self._answer(held, now)
             self._hold(held, node, now)
         if needs <= left:
             self._due(held.promised - self.edge - needs + 1, self._look, held)
@@ -554,6 +564,8 @@
         """The held job with the least tag, as far as the bounds, the limits and a cold start let it."""
         if node.health is not Health.READY:
             return None
+        if not node.ready and node.floor and not node.out:
+            node.floor *= 1 - FLOOR_STEP
         while node.ready and (not node.out or node.out + 1 <= node.total()):
             tag, rank, _, volume = node.ready[0]
             flow = node.flows.get(volume)
@@ -614,6 +626,14 @@
         self._due(now + patience, self._lost, (held, held.legs))
         return Leg(job.id, held.legs - 1, node.id, patience if held.product.effect == "safe" else 0)
 
+    def _density(self, held: Held, flow: Flow | None, node: Node) -> float:
+        """Payoff for a job's time at a node: less beyond the reserve, least for a volume that is ahead."""
+        value = held.product.points * held.volume.factor / held.product.pace
+        if held.inside:
+            return value
+        ahead = flow is not None and flow.finish > node.time
+        return value * self.number("FamilyInfo.BeyondShare" if ahead else "FamilyInfo.FairWorth", 1.0)
+
     def _needs(self, held: Held, node: Node) -> int:
         return round(node.drag * held.product.pace * held.job.units)
 
