Deny jobs whose client leaves before the usual answer, at an idle node too

Told from slow nodes by answer times that stayed usual for the other plans, and from lost answers by the time-outs coming with the clients'. A leg cut by its client no longer lowers what a node is taken to need nor shrinks its window, and a job that can't make its client timeout is denied even at an idle node, but for one when nothing was heard of the node for a second. Should also catch retry storms of any product; could harm where estimates run high and all clients are hasty: then one job a second goes to each node.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -145,7 +145,7 @@
         self.recent: Counter[int] = Counter()
         self.window = FIRST_WINDOW
         self.drag = self.good = 1.0  # answer times against the usual ones, share of good answers
-        self.cut_at = self.cold_until = 0
+        self.cut_at = self.cold_until = self.heard = 0
         self.cold: deque[tuple[int, float]] = deque()  # while cold: units sent, and less the answered
         self.credit = 0.0
         self.floor = 0.0  # payoff for time under which a job is not worth its place here
@@ -371,12 +371,15 @@
         product, units = held.product, held.job.units
         good = end.ending is Ending.FULFILLED
         node.good += SMOOTH * (good - node.good)
-        if good or end.ending is Ending.TIMEOUT:
-            if good:
-                product.pace += SMOOTH * (end.took / units - product.pace)
-            node.drag += SMOOTH * (end.took / (product.pace * units) - node.drag)
+        node.heard = now
+        if good:
+            product.pace += SMOOTH * (end.took / units - product.pace)
+        ratio = end.took / (product.pace * units)
+        if good or (end.ending is Ending.TIMEOUT and ratio > node.drag):  # a time-out only tells more
+            node.drag += SMOOTH * (ratio - node.drag)
         large = max(1.0, units / self.number("FamilyInfo.UsualUnits", 1.0))
-        if end.ending is Ending.ERROR or end.ending is Ending.MOOT:
+        hasty = end.ending is Ending.TIMEOUT and end.took < SOON * product.promised  # the client left
+        if hasty or end.ending is Ending.ERROR or end.ending is Ending.MOOT:
             return
         if not good or end.took > SOON * product.promised * large:
             self._shrink(held, now)
@@ -445,7 +448,10 @@
             return self._answer(held, now)
         needs = self._needs(held, node)
         worth = self._density(held, node.flows.get(held.job.volume), node)
-        if needs > left and node.out:
+        # Guards against clients that leave before the usual answer and ask again: their legs are wasted work,
+        # also at an idle node, but for one when nothing was heard of the node for a while.
+        hasty = held.promised == held.job.client_timeout and now < node.heard + SECOND
+        if needs > left and (node.out or hasty):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held, now)
         if not held.waiting:
