Jobs that would miss their promised time go to an idle node only as a rare probe

Cause: with several hosts at a node of one core, one job out for each host already answers past the promised time; a fifth of yogya's jobs were served late. Harm: where the usual answer time is overestimated, work is lost until a probe tells.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -201,9 +201,9 @@
                 self._left(node, entry.health)
                 continue
             # Guards against pushing over a node that starts: any return counts as a start, told or not.
-            again = node.started == entry.started
-            since = now if again or not entry.started else entry.started
-            if (node.health is Health.GONE if again else since + self.cold_span > now) and (again or entry.started):
+            back = node.health is Health.GONE and node.started == entry.started
+            since = now if back else entry.started
+            if back or (node.started != entry.started and 0 < since > now - self.cold_span):
                 node.cold_until, node.window, node.cut_at = since + self.cold_span, 1.0, now
             node.health, node.started = Health.READY, entry.started
             self.touched[node.id] = None
@@ -406,10 +406,9 @@
             return self._answer(held)
         needs = self._needs(held, node)
         worth = self._density(held, node.flows.get(held.job.volume), node)
-        # Guards against clients that leave before the usual answer and ask again: their legs are wasted work,
-        # also at an idle node, but for one when nothing was heard of the node for a while.
-        hasty = held.promised == held.job.client_timeout and self.now < node.heard + SECOND
-        if needs > left and (node.out or hasty):
+        # Guards against work that comes too late, or after its client left: a job that would miss its promised time
+        # is not sent to an idle node either, but for one when nothing was heard of the node for as long.
+        if needs > left and (node.out or self.now < node.heard + held.product.promised):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held)
         if not held.waiting:
