--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -270,6 +270,7 @@
             self.beat = now + BEAT
             for each in self.nodes.values():
                 each.floor *= 1 - FLOOR_STEP * (not each.out)
+                each.drag += FLOOR_STEP * (not each.out) * (1 - each.drag)
         while self.dues and self.dues[0][0] <= now:
             _, _, act, what = heappop(self.dues)
             act(what)
@@ -406,7 +407,7 @@
             return self._answer(held)
         needs = self._needs(held, node)
         worth = self._density(held, node.flows.get(held.job.volume), node)
-        # Guards against work that comes too late, or after its client left: a job that would miss its promised time
+        # Guards against work that is late or whose client left: a job that would miss its promised time
         # is not sent to an idle node either, but for one when nothing was heard of the node for as long.
         if needs > left and (node.out or self.now < node.heard + held.product.promised):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
