Expect a cold node to be as slow as the slowest warming the settings allow

The usual answer time at a cold node now starts from the settings' start capacity and warming time. Harm: a node that warms sooner is used a little late.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -205,6 +205,7 @@
             since = now if back else entry.started
             if back or (node.started != entry.started and 0 < since > now - self.cold_span):
                 node.cold_until, node.window, node.cut_at = since + self.cold_span, 1.0, now
+                node.drag = self._usual(node)
             node.health, node.started = Health.READY, entry.started
             self.touched[node.id] = None
 
@@ -270,7 +271,7 @@
             self.beat = now + BEAT
             for each in self.nodes.values():
                 each.floor *= 1 - FLOOR_STEP * (not each.out)
-                each.drag += FLOOR_STEP * (not each.out) * (1 - each.drag)
+                each.drag += FLOOR_STEP * (not each.out) * (self._usual(each) - each.drag)
         while self.dues and self.dues[0][0] <= now:
             _, _, act, what = heappop(self.dues)
             act(what)
@@ -306,6 +307,12 @@
                     self._unhold(held)
                 queue.clear()
 
+    def _usual(self, node: Node) -> float:
+        """The drag to expect of a node without news: one, or more while it warms as slowly as it may."""
+        cold = max(0, node.cold_until - self.now) / max(1, self.cold_span)
+        least = self.number("Safety.StartCapacity", 1.0)
+        return 1 / max(0.01, 1 - cold * (1 - least))
+
     def _free(self, held: Held) -> None:
         """A leg no longer counts as out: the bounds react as to an answer."""
         node, volume = held.node, held.job.volume
