Trial jobs of all gateways together take at most a quarter of a slow node's time

Other nodes stayed usual, and no change was logged. The pause between trial jobs now also covers the job's usual time times four times the gateways.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -24,6 +24,7 @@
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
 SOON = 0.3  # share of the promised time an answer may take before the window shrinks; the rest is spent here
+PROBES = 4  # a node's time against that of all gateways' trial jobs at it; the rest is for recovery
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
@@ -416,7 +417,8 @@
         worth = self._density(held, node.flows.get(held.job.volume), node)
         # Guards against work that is late or whose client left: a job that would miss its promised time
         # is not sent to an idle node either, but for one when nothing was heard of the node for as long.
-        if needs > left and (node.out or self.now < node.heard + held.product.promised):
+        rare = max(held.product.promised, round(self.gateways * held.product.pace * held.job.units * PROBES))
+        if needs > left and (node.out or self.now < node.heard + rare):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held)
         if not held.waiting:
