A node that turns jobs away unseen rests for a growing while; shorter module

Should also catch refused connects; harm: after a short jam the node waits up to about three promised times.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -123,7 +123,7 @@
         self.health, self.started = Health.GONE, -1
         self.flows: dict[int, Flow] = {}
         self.ready: list[tuple[float, int, int, int]] = []  # tag, 0 inside or 1 beyond, number, volume
-        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = 0
+        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = self.shut = self.rest = 0
         self.units = self.time = 0.0  # units out, and the virtual time
         self.split = float(QUEUE)
         self.trimmed = False
@@ -135,7 +135,7 @@
         self.credit = self.floor = 0.0  # in the rotation; least payoff for time worth a place
 
     def total(self) -> float:
-        return min(float(TRIMMED if self.trimmed else QUEUE), self.window)
+        return min(TRIMMED if self.trimmed else QUEUE, self.window)
 
 
 class Host:
@@ -167,8 +167,6 @@
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
 
-    # --- what the settings hold ---
-
     def text(self, name: str, default: str | None = None) -> str:
         value = self.values.get(name, default)
         if value is None:
@@ -176,11 +174,8 @@
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
-        value = self.values.get(name)
-        if value is None and default is not None:
-            return default
         try:
-            return float(self.text(name))
+            return float(self.text(name, None if default is None else str(default)))
         except ValueError:
             raise MissingValue(f"the settings hold no number under {name}") from None
 
@@ -192,10 +187,8 @@
             self._due(now + ASK_AGAIN, self.calls.append, ListCall.FOLLOW)
             return
         if kind is not ListKind.DELTA:
-            named = {entry.node for entry in entries}
-            for node in self.nodes.values():
-                if node.id not in named:
-                    self._left(node)
+            for missing in sorted(self.nodes.keys() - {entry.node for entry in entries}):
+                self._left(self.nodes[missing])
         for entry in entries:
             node = self.nodes.setdefault(entry.node, Node(entry))
             if entry.health is not Health.READY:
@@ -244,23 +237,24 @@
             node.cold.append((now, -units))
         if not good and end.ending not in UNSEEN and held.ran is None:
             held.ran = (held.sent, node.shard, node.zone)
-        if end.last:
-            held.over = True
-        held.not_before = now + round(held.product.promised * PAUSE * 2 ** (held.legs - 1) * self._spread())
+        held.over = held.over or end.last
+        pause = held.product.promised * PAUSE * self._spread()
+        held.not_before = now + round(pause * 2 ** (held.legs - 1))
+        # Guards against beating on a node that turns jobs away unseen: it rests longer each time.
+        node.shut = min(node.shut + 1, 5) if end.ending in (Ending.FULL, Ending.UNREACHABLE) else 0
+        if node.shut:
+            node.rest = now + round(pause * 2 ** node.shut)
+            self._due(node.rest, self._list_flow, (node, held.job.volume))
         if end.ending in UNSURE and held.ordered:
             self.rests[held.job.key] = now + self.settle
-        if held.over:
-            self._close(held)
-        else:
-            self.review.append(held)
+        self.review.append(held)
 
     def stream_began(self, job: int) -> None:
-        if job in self.jobs:
-            self.jobs[job].streaming = True
+        if held := self.jobs.get(job):
+            held.streaming = True
 
     def job_gone(self, job: int) -> None:
-        held = self.jobs.get(job)
-        if held:
+        if held := self.jobs.get(job):
             held.over = True
             self.review.append(held)
 
@@ -291,8 +285,6 @@
     def next_due(self) -> int:
         return min(self.beat, self.dues[0][0]) if self.dues else self.beat
 
-    # --- bookkeeping of what was seen ---
-
     def _due(self, at: int, act: Callable[[Any], None], what: Any) -> None:
         self.count += 1
         heappush(self.dues, (at, self.count, act, what))
@@ -356,12 +348,10 @@
         if good or (end.ending is Ending.TIMEOUT and ratio > node.drag):  # a time-out only tells more
             node.drag += SMOOTH * (ratio - node.drag)
         large = max(1.0, units / self.number("FamilyInfo.UsualUnits", 1.0))
-        hasty = end.ending is Ending.TIMEOUT and end.took < SOON * product.promised  # the client left
-        if hasty or end.ending is Ending.ERROR or end.ending is Ending.MOOT:
-            return
-        if not good or end.took > SOON * product.promised * large:
+        late = end.took > SOON * product.promised * large
+        if late or end.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.RESET):
             self._shrink(held)
-        elif node.out + 2 > node.window:
+        elif good and node.out + 2 > node.window:
             node.window = min(float(QUEUE), node.window + 1 / node.window)
 
     def _halve(self, node: Node, flow: Flow) -> None:
@@ -388,18 +378,16 @@
             self.review.append(turn[0])
 
     def _close(self, held: Held) -> None:
-        self.jobs.pop(held.job.id, None)
+        if not held.out:
+            self.jobs.pop(held.job.id, None)
         if held.ordered:
             self._advance(held.job.key)
 
-    # --- what becomes of one job ---
-
     def _settle(self, held: Held) -> Verdict | None:
         """Answers a job that can't be fulfilled in time any more at once; holds the others at their node."""
         if held.over:
             self._unhold(held)
-            if not held.out:
-                self._close(held)
+            self._close(held)
         if held.over or held.out or held.streaming:
             return None
         left = held.promised - self.now - self.edge
@@ -454,10 +442,9 @@
         worth = 1.0 if held.inside else self.number("FamilyInfo.FairWorth", 1.0)
         if held.legs >= min(most, 1 + max(1, round((most - 1) * worth))):
             return False
-        if held.ran is not None:
-            if held.product.effect == "unsafe":
-                return False
-            if held.product.effect == "keyed" and self.now + self.edge >= held.ran[0] + held.product.window:
+        if held.ran is not None and held.product.effect != "safe":
+            lapsed = self.now + self.edge >= held.ran[0] + held.product.window
+            if held.product.effect == "unsafe" or lapsed:
                 return False
         if "Safety.ExtraRatio" not in self.values:
             return True
@@ -470,12 +457,9 @@
 
     def _place(self, held: Held) -> Node | None:
         """The node of the job's shard; new objects take turns, weighted by what each node managed."""
-        shard, zone = held.job.shard, -1
-        if held.ran is not None and held.product.effect == "keyed":
-            if held.product.group == "cell":
-                shard = held.ran[1]
-            elif held.product.group == "zone":
-                zone = held.ran[2]
+        group = held.product.group if held.ran and held.product.effect == "keyed" else "all"
+        shard = held.ran[1] if held.ran and group == "cell" else held.job.shard
+        zone = held.ran[2] if held.ran and group == "zone" else -1
         best: Node | None = None
         whole = 0.0
         for node in self.nodes.values():
@@ -487,12 +471,10 @@
             whole += weight
             if best is None or node.credit > best.credit:
                 best = node
-        if best is not None:
+        if best:
             best.credit -= whole
         return best
 
-    # --- the mechanism: bounds, tags, trimming ---
-
     def _hold(self, held: Held, node: Node) -> None:
         volume, key = held.job.volume, held.job.key
         flow = node.flows.get(volume)
@@ -510,10 +492,7 @@
         elif flow.score > 0 and flow.units < flow.before:
             flow.bound = min(float(QUEUE), flow.bound + 1)
         queue = flow.queues[0 if held.inside else 1]
-        if held.legs:
-            queue.appendleft(held)
-        else:
-            queue.append(held)
+        (queue.appendleft if held.legs else queue.append)(held)
         held.node, held.waiting = node, True
         flow.held += 1
         flow.keys[key] += 1
@@ -545,7 +524,7 @@
 
     def _leave(self, node: Node) -> Leg | None:
         """The held job with the least tag, as far as the bounds, the limits and a cold start let it."""
-        if node.health is not Health.READY:
+        if node.health is not Health.READY or self.now < node.rest:
             return None
         while node.ready and (not node.out or node.out + 1 <= node.total()):
             tag, rank, _, volume = node.ready[0]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -109,3 +109,30 @@
 def test_missing_setting_is_named(make_desk):
     with pytest.raises(MissingValue, match=r"Classes\.0\.Aim"):
         make_desk(Classes__0__Aim="")
+
+
+def test_node_that_turns_jobs_away_rests_longer_each_time(desk):
+    desk.take()
+    desk.end(desk.pull()[0], START + MS, Ending.FULL, took=MS)
+    desk.take(START + 2 * MS, volume=2)
+    assert desk.pull(START + 2 * MS) == []
+    first = desk.host.nodes[70].rest - START
+    desk.end(desk.pull(START + 61 * MS)[0], START + 62 * MS, Ending.UNREACHABLE, took=MS)
+    assert desk.host.nodes[70].rest - (START + 62 * MS) > first / 2 > 0
+
+
+def test_small_node_is_tried_more_seldom_the_more_gateways_share_it(desk):
+    node = desk.host.nodes[70]
+    node.heard, node.drag = START - SECOND, 20.0
+    desk.host.gateways = 20.0
+    desk.take()
+    assert isinstance(desk.pull()[0], Verdict)
+    node.heard = START - 4 * SECOND
+    desk.take()
+    assert isinstance(desk.pull()[0], Leg)
+
+
+def test_cold_node_is_expected_to_be_slow(make_desk):
+    desk = make_desk(Safety__StartCapacity="0.25")
+    desk.host.list_came(ListKind.DELTA, [NodeEntry(70, 0, 0, Health.READY, START)], START)
+    assert desk.host.nodes[70].drag == pytest.approx(4.0)
