--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -533,7 +533,7 @@
             while queue and not (queue[0].waiting and self._may_leave(queue[0])):
                 queue.popleft()
             if flow and queue and flow.out < flow.bound:
-                if wait := self._too_cold(node, queue[0].job.units):
+                if wait := self._too_cold(node):
                     self._due(self.now + wait, self._list_flow, (node, volume))
                     return None
                 if wait := self._limited(queue[0]):
@@ -608,13 +608,14 @@
         lack = held.job.units - volume.store
         return max(MS, round(lack / volume.limit * SECOND)) if lack > 0 else 0
 
-    def _too_cold(self, node: Node, units: float) -> int:
-        """Guards against pushing over a cold node: sends stay under a sure part and what it answered."""
+    def _too_cold(self, node: Node) -> int:
+        """Guards against pushing over a cold node: in the rule's time, units sent stay under a sure part and half of
+        what the rule grants for the units answered here, which the node has shown to manage."""
         if self.now >= node.cold_until:
             node.cold.clear()
-            return 0
         while node.cold and node.cold[0][0] <= self.now - self.fall:
             node.cold.popleft()
-        if not node.cold or sum(each for _, each in node.cold) + units <= self.cold_units:
+        grant = max(1.0, self.number("Safety.OverloadFactor", 1.0) / 2)
+        if sum(each if each > 0 else each * grant for _, each in node.cold) <= self.cold_units:
             return 0
         return node.cold[0][0] + self.fall - self.now + 1
