--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -609,8 +609,8 @@
         return max(MS, round(lack / volume.limit * SECOND)) if lack > 0 else 0
 
     def _too_cold(self, node: Node) -> int:
-        """Guards against pushing over a cold node: in the rule's time, units sent stay under a sure part and half of
-        what the rule grants for the units answered here, which the node has shown to manage."""
+        """Guards against pushing over a cold node: units sent in the rule's time stay under a sure part and
+        half of what the rule grants for the units answered here, which the node has shown to manage."""
         if self.now >= node.cold_until:
             node.cold.clear()
         while node.cold and node.cold[0][0] <= self.now - self.fall:
