--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -347,8 +347,10 @@
         ratio = end.took / (product.pace * units)
         if good or (end.ending is Ending.TIMEOUT and ratio > node.drag):  # a time-out only tells more
             node.drag += SMOOTH * (ratio - node.drag)
-        large = max(1.0, units / self.number("FamilyInfo.UsualUnits", 1.0))
-        late = end.took > SOON * product.promised * large
+        # All jobs at a node share its queue, so the shortest promised time sets what each may take there.
+        tightest = min(self.products, key=lambda each: each.promised)
+        large = max(1.0, units * product.pace / tightest.pace / self.number("FamilyInfo.UsualUnits", 1.0))
+        late = end.took > SOON * tightest.promised * large
         if late or end.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.RESET):
             self._shrink(held)
         elif good and node.out + 2 > node.window:
