--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -412,7 +412,7 @@
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held)
         if not held.waiting:
-            if worth < node.floor and node.out:
+            if worth < node.floor and (node.out or self.now < node.heard + needs):
                 node.floor -= node.floor * FLOOR_STEP * FLOOR_EASE
                 return self._answer(held)
             self._hold(held, node)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -140,3 +140,19 @@
     for _ in range(40):
         volume.served(0.0, 1.0)
     assert volume.share < 0.05
+
+
+def test_cheap_job_waits_out_one_usual_answer_before_an_idle_node_takes_it(desk):
+    node = desk.host.nodes[70]
+    node.floor, node.heard = 1.0, START
+    cheap = desk.take(plan=2, volume=2)
+    assert [(said.job, said.answer) for said in desk.pull()] == [(cheap, Answer.DENIED)]
+    desk.take(START + 200 * MS, plan=2, volume=2)
+    assert isinstance(desk.pull(START + 200 * MS)[0], Leg)
+
+
+def test_shortest_promised_time_sets_what_any_answer_may_take(desk):
+    desk.host.products[0].promised = 100 * MS
+    desk.take(product=2)
+    desk.end(desk.pull()[0], START + 60 * MS, took=60 * MS)
+    assert desk.host.nodes[70].window < 2.0
