--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -23,7 +23,7 @@
 HISTORY = 128  # jobs sent to a node that tell which volumes are recent; the paper's alpha
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
-SOON = 0.3  # share of the promised time an answer may take before the window shrinks; the rest is spent here
+SOON = 0.3  # share of the shortest promised time an answer may take before the window shrinks; short queues
 PROBES = 4  # a node's time against that of all gateways' trial jobs at it; the rest is for recovery
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
@@ -204,7 +204,7 @@
             self.touched[node.id] = None
 
     def job_came(self, job: Job, now: int) -> None:
-        self.now = now
+        self.now, job.units = now, job.units or 1.0  # a size that was not told counts as one
         volume = self.volumes.get(job.volume)
         if volume is None:
             volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, now)
--- a/ochrecourse/drill/frames.py
+++ b/ochrecourse/drill/frames.py
@@ -117,6 +117,8 @@
 
     def job(self) -> Job:
         ref, product, plan, key, timeout, volume, units, shard, gateways, _ = self.take(_JOB)
+        if not all(-1e9 < figure < 1e9 for figure in (units, shard, gateways)):
+            raise BadFrame(f"job {ref} has a figure out of range")
         return Job(
             id=int(ref),
             product=int(product),
@@ -166,7 +168,7 @@
     if isinstance(said, Leg):
         return _SEND.pack(10, gateway, said.job, said.node, said.time_out / 1e6)
     if isinstance(said, ListCall):
-        return _FOLLOW.pack(110, gateway, 1) if said is ListCall.FOLLOW else _TAG.pack(120, gateway)
+        return _FOLLOW.pack(110, gateway, 1)
     if said.answer is Answer.DENIED:
         return _DENY.pack(20, gateway, said.job, said.come_back / 1e6)
     return _WRITE_OFF.pack(30, gateway, said.job)
--- a/ochrecourse/interface.py
+++ b/ochrecourse/interface.py
@@ -53,7 +53,6 @@
     """What the gateway may ask of the list of storage nodes."""
 
     FOLLOW = "follow"
-    FETCH = "fetch"
 
 
 @dataclass(slots=True)
