What a node needs is learned and eased by time and gateways; little worth waits for quick nodes

What else it should catch: any stale knowledge where answers are rare. It could harm where a node mends quickly and few gateways' jobs come: it is tried late, at most some of these half-lives.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -24,21 +24,19 @@
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
 SOON = 0.3  # share of the shortest promised time an answer may take before the window shrinks; short queues
-PROBES = 4  # a node's time against that of all gateways' trial jobs at it; the rest is for recovery
+PROBES = 2  # a node's time against that of one job from each gateway as it eases; the rest is for recovery
+ROOM = 0.3  # power of a job's part of the worth in the time it may need; higher turns away more of the spare
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
+EASE = 1350 * MS  # ns in which a node's drag and floor halve at the least; a jam of a few gateways is gone
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
 FLOOR_STEP = 0.05  # part of the way the payoff floor moves for each job given up; about twenty tell a trend
 FLOOR_EASE = 0.1  # the floor's fall for each job under it, against its rise; so the floor errs low
 PAUSE = 0.1  # share of the promised time before a further leg, doubled each time; leaves time for all of them
-BEAT = 100 * MS  # ns between periodic work; well under any time-out
 ASK_AGAIN = SECOND  # ns before the list is asked for again after a failure; seldom enough not to load it
 FIRST_LOOK = 20 * MS  # ns per unit that a job is expected to take before any answer was seen
 
-UNSEEN = (Ending.FULL, Ending.UNREACHABLE, Ending.MOOT)  # endings that prove the leg never ran
-UNSURE = (Ending.TIMEOUT, Ending.RESET, Ending.WITHDRAWN)  # endings after which the leg may run on
-
 
 class Product:
     """What the settings say of one product."""
@@ -78,8 +76,9 @@
         self.store = min(self.depth, self.store + self.limit * past)
         self.own *= 0.5 ** (past * SECOND / RATE_HALF)
 
-    def served(self, units: float, used: float) -> None:
+    def served(self, units: float, used: float, now: int) -> None:
         """The late totals tell which part of the volume comes through here; else the split stays even."""
+        self.refill(now)
         self.own += units * 0.69 * SECOND / RATE_HALF
         if used >= 0:
             self.used += SMOOTH * (used * self.rate - self.used)
@@ -123,7 +122,8 @@
         self.health, self.started = Health.GONE, -1
         self.flows: dict[int, Flow] = {}
         self.ready: list[tuple[float, int, int, int]] = []  # tag, 0 inside or 1 beyond, number, volume
-        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = self.shut = self.rest = 0
+        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = 0
+        self.eased = 0
         self.units = self.time = 0.0  # units out, and the virtual time
         self.split = float(QUEUE)
         self.trimmed = False
@@ -139,8 +139,6 @@
 
 
 class Host:
-    """The decisions of one gateway."""
-
     def __init__(self, values: Mapping[str, str], seed: int, now: int) -> None:
         self.values = values
         self.chance = seed
@@ -150,20 +148,19 @@
         self.cold_span = round(self.number("Safety.Cold", 0.0) * MS)
         self.cold_units = self.number("FamilyInfo.ColdUnits", 0.0) / self.gateways
         self.settle = round(self.number("Safety.OrderSettle", 0.0) * MS)
+        self.usual_units = self.number("FamilyInfo.UsualUnits", 1.0)
         self.edge = 2 * round(self.number("Period", 1.0) * MS)
         self.nodes: dict[int, Node] = {}
         self.volumes: dict[int, Volume] = {}
         self.jobs: dict[int, Held] = {}
         self.turns: dict[int, deque[Held]] = {}  # jobs of one key in order
         self.rests: dict[int, int] = {}  # until when a key rests
-        self.review: deque[Held] = deque()  # jobs of which it must be settled what comes next
-        self.calls: deque[ListCall] = deque()
+        self.review = deque[Held]()  # jobs of which it must be settled what comes next
+        self.calls = deque[ListCall]()
         self.touched: dict[int, None] = {}  # nodes at which something may leave
         self.dues: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.count = 0
-        self.now, self.beat = now, now + BEAT
-        self.taken: deque[int] = deque()  # times of jobs taken and further legs sent, for the budget
-        self.further: deque[int] = deque()
+        self.count, self.now = 0, now
+        self.taken, self.further = deque[int](), deque[int]()  # times, for the budget
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
 
@@ -228,24 +225,20 @@
         if held is None or node is None or not held.out:
             return
         held.out = False
+        self._ease(node)
         units, good = held.job.units, end.ending is Ending.FULFILLED
         self._free(held)
-        held.volume.refill(now)
-        held.volume.served(units if good else 0.0, end.volume_used)
+        held.volume.served(units if good else 0.0, end.volume_used, now)
         self._learn(node, held, end)
         if good and now < node.cold_until:
             node.cold.append((now, -units))
-        if not good and end.ending not in UNSEEN and held.ran is None:
+        unsure = end.ending in (Ending.TIMEOUT, Ending.RESET, Ending.WITHDRAWN)  # it may run on
+        if held.ran is None and (unsure or end.ending is Ending.ERROR):
             held.ran = (held.sent, node.shard, node.zone)
         held.over = held.over or end.last
         pause = held.product.promised * PAUSE * self._spread()
         held.not_before = now + round(pause * 2 ** (held.legs - 1))
-        # Guards against beating on a node that turns jobs away unseen: it rests longer each time.
-        node.shut = min(node.shut + 1, 5) if end.ending in (Ending.FULL, Ending.UNREACHABLE) else 0
-        if node.shut:
-            node.rest = now + round(pause * 2 ** node.shut)
-            self._due(node.rest, self._list_flow, (node, held.job.volume))
-        if end.ending in UNSURE and held.ordered:
+        if unsure and held.ordered:
             self.rests[held.job.key] = now + self.settle
         self.review.append(held)
 
@@ -262,11 +255,6 @@
 
     def decide(self, now: int) -> Leg | Verdict | ListCall | None:
         self.now = now
-        if now >= self.beat:
-            self.beat = now + BEAT
-            for each in self.nodes.values():
-                each.floor *= 1 - FLOOR_STEP * (not each.out)
-                each.drag += FLOOR_STEP * (not each.out) * (self._usual(each) - each.drag)
         while self.dues and self.dues[0][0] <= now:
             _, _, act, what = heappop(self.dues)
             act(what)
@@ -283,7 +271,7 @@
         return self.decide(now) if self.review else None
 
     def next_due(self) -> int:
-        return min(self.beat, self.dues[0][0]) if self.dues else self.beat
+        return self.dues[0][0] if self.dues else self.now + SECOND
 
     def _due(self, at: int, act: Callable[[Any], None], what: Any) -> None:
         self.count += 1
@@ -295,9 +283,8 @@
         for flow in node.flows.values():
             for queue in flow.queues:
                 for held in queue:
-                    if held.waiting:
-                        self.review.append(held)
                     self._unhold(held)
+                self.review.extend(queue)
                 queue.clear()
 
     def _usual(self, node: Node) -> float:
@@ -336,22 +323,38 @@
         if node and held.sent >= node.cut_at:  # one cut for all legs that were out together
             node.window, node.cut_at = max(1.0, node.window * CUT), self.now
 
+    def _ease(self, node: Node) -> None:
+        """What a node is taken to need falls back to the usual without news: the slower, the more gateways
+        come back, or all of them together would fill a jammed node again before it is empty."""
+        if not node.out:
+            jam = PROBES * self.gateways * min(each.pace for each in self.products) * self.usual_units
+            keep = 0.5 ** ((self.now - node.eased) / max(EASE, jam))
+            node.floor *= keep
+            node.drag = self._usual(node) * (1 - keep) + keep * node.drag
+        node.eased = self.now
+
     def _learn(self, node: Node, held: Held, end: LegEnd) -> None:
         """How fast a node answers sets its window, which trims the total further than the paper does."""
         product, units = held.product, held.job.units
+        gap = self.now - node.heard
+        newest = max(SMOOTH, gap / (gap + RATE_HALF))  # guards against stale means where answers are rare
         good = end.ending is Ending.FULFILLED
         node.good += SMOOTH * (good - node.good)
         node.heard = self.now
         if good:
-            product.pace += SMOOTH * (end.took / units - product.pace)
-        ratio = end.took / (product.pace * units)
-        if good or (end.ending is Ending.TIMEOUT and ratio > node.drag):  # a time-out only tells more
-            node.drag += SMOOTH * (ratio - node.drag)
+            # Guards against taking a jam for the usual pace, after which nothing would be tried any more.
+            usual = SOON * product.promised / self.usual_units
+            product.pace += SMOOTH * (min(usual, end.took / units) - product.pace)
+        # Guards against beating on a node that turns jobs away unseen: the wait there is the promised time.
+        shut = end.ending in (Ending.FULL, Ending.UNREACHABLE)
+        ratio = (product.promised if shut else end.took) / (product.pace * units) + shut
+        if good or ((shut or end.ending is Ending.TIMEOUT) and ratio > node.drag):  # these only tell more
+            node.drag += newest * (ratio - node.drag)
         # All jobs at a node share its queue, so the shortest promised time sets what each may take there.
         tightest = min(self.products, key=lambda each: each.promised)
-        large = max(1.0, units * product.pace / tightest.pace / self.number("FamilyInfo.UsualUnits", 1.0))
+        large = max(1.0, units * product.pace / tightest.pace / self.usual_units)
         late = end.took > SOON * tightest.promised * large
-        if late or end.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.RESET):
+        if late or shut or end.ending is Ending.RESET:
             self._shrink(held)
         elif good and node.out + 2 > node.window:
             node.window = min(float(QUEUE), node.window + 1 / node.window)
@@ -403,12 +406,13 @@
         node = held.node if held.waiting else self._place(held)
         if node is None:
             return self._answer(held)
+        self._ease(node)
         needs = self._needs(held, node)
         worth = self._density(held, node.flows.get(held.job.volume), node)
-        # Guards against work that is late or whose client left: a job that would miss its promised time
-        # is not sent to an idle node either, but for one when nothing was heard of the node for as long.
-        rare = max(held.product.promised, round(self.gateways * held.product.pace * held.job.units * PROBES))
-        if needs > left and (node.out or self.now < node.heard + rare):
+        # Guards against surges that fill a node with work of little worth: it goes where answers are quick.
+        left = round(left * (worth * held.product.pace / held.product.points / held.volume.factor) ** ROOM)
+        # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
+        if needs > left:
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held)
         if not held.waiting:
@@ -416,8 +420,7 @@
                 node.floor -= node.floor * FLOOR_STEP * FLOOR_EASE
                 return self._answer(held)
             self._hold(held, node)
-        if needs <= left:
-            self._due(held.promised - self.edge - needs + 1, self.review.append, held)
+        self._due(held.promised - self.edge - needs + 1, self.review.append, held)
         return None
 
     def _spread(self) -> float:
@@ -433,9 +436,8 @@
         repeats = product.effect == "safe" or (product.effect == "keyed" and product.group == "all")
         denied = held.ran is None or repeats
         self._close(held)
-        advice = self.text("Limits.RetryAfter", "false") == "true"
-        longest = self.number("Limits.MaxRetryAfter", 0.0) * MS * self._spread()
-        away = round(longest) if advice and denied else 0
+        advice = denied and self.text("Limits.RetryAfter", "false") == "true"
+        away = round(self.number("Limits.MaxRetryAfter", 0.0) * MS * self._spread()) if advice else 0
         return Verdict(held.job.id, Answer.DENIED if denied else Answer.WRITTEN_OFF, away)
 
     def _again(self, held: Held) -> bool:
@@ -526,7 +528,7 @@
 
     def _leave(self, node: Node) -> Leg | None:
         """The held job with the least tag, as far as the bounds, the limits and a cold start let it."""
-        if node.health is not Health.READY or self.now < node.rest:
+        if node.health is not Health.READY:
             return None
         while node.ready and (not node.out or node.out + 1 <= node.total()):
             tag, rank, _, volume = node.ready[0]
@@ -613,9 +615,7 @@
     def _too_cold(self, node: Node) -> int:
         """Guards against pushing over a cold node: units sent in the rule's time stay under a sure part and
         half of what the rule grants for the units answered here, which the node has shown to manage."""
-        if self.now >= node.cold_until:
-            node.cold.clear()
-        while node.cold and node.cold[0][0] <= self.now - self.fall:
+        while node.cold and (self.now >= node.cold_until or node.cold[0][0] <= self.now - self.fall):
             node.cold.popleft()
         grant = max(1.0, self.number("Safety.OverloadFactor", 1.0) / 2)
         if sum(each if each > 0 else each * grant for _, each in node.cold) <= self.cold_units:
