Lost answers told from jams; unanswered legs double a node's needs; stale nodes follow the fleet

Cause: some nodes stay full, because a time-out taught only its own length and the next job followed within a second from each of 51 or 126 gateways.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -27,12 +27,13 @@
 PROBES = 2  # a node's time against that of one job from each gateway as it eases; the rest is for recovery
 ROOM = 0.3  # power of a job's part of the worth in the time it may need; higher turns away more of the spare
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
+LOSSY = (0.04, 0.4)  # shares of legs lost at quick nodes between which answers are lost; more is a jam
+BACKOFF = 64.0  # the most that a node which answers nothing is taken to need, in usual answer times
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
 EASE = 1350 * MS  # ns in which a node's drag and floor halve at the least; a jam of a few gateways is gone
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
 FLOOR_STEP = 0.05  # part of the way the payoff floor moves for each job given up; about twenty tell a trend
-FLOOR_EASE = 0.1  # the floor's fall for each job under it, against its rise; so the floor errs low
 PAUSE = 0.1  # share of the promised time before a further leg, doubled each time; leaves time for all of them
 ASK_AGAIN = SECOND  # ns before the list is asked for again after a failure; seldom enough not to load it
 FIRST_LOOK = 20 * MS  # ns per unit that a job is expected to take before any answer was seen
@@ -65,9 +66,7 @@
         self.left = self.burst * self.share  # units of the reserve not yet used
         self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
         self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
-        # Guards against passing the limit after a restart: what the last life drew is unknown.
-        self.store = 0.0
-        self.at = now
+        self.store, self.at = 0.0, now  # empty, for what the last life drew is unknown
         self.own = self.used = 0.0  # units a second served here and everywhere
 
     def refill(self, now: int) -> None:
@@ -122,13 +121,11 @@
         self.health, self.started = Health.GONE, -1
         self.flows: dict[int, Flow] = {}
         self.ready: list[tuple[float, int, int, int]] = []  # tag, 0 inside or 1 beyond, number, volume
-        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = 0
-        self.eased = 0
+        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = self.eased = 0
+        self.quick = self.silent = self.trimmed = False  # its last answer was quick, its last leg timed out
         self.units = self.time = 0.0  # units out, and the virtual time
         self.split = float(QUEUE)
-        self.trimmed = False
-        self.history: deque[int] = deque()
-        self.recent: Counter[int] = Counter()
+        self.history, self.recent = deque[int](), Counter[int]()
         self.window = FIRST_WINDOW
         self.drag = self.good = 1.0  # answer times against the usual ones, share of good answers
         self.cold: deque[tuple[int, float]] = deque()  # while cold: units sent, and less the answered
@@ -151,15 +148,14 @@
         self.usual_units = self.number("FamilyInfo.UsualUnits", 1.0)
         self.edge = 2 * round(self.number("Period", 1.0) * MS)
         self.nodes: dict[int, Node] = {}
-        self.volumes: dict[int, Volume] = {}
-        self.jobs: dict[int, Held] = {}
-        self.turns: dict[int, deque[Held]] = {}  # jobs of one key in order
-        self.rests: dict[int, int] = {}  # until when a key rests
-        self.review = deque[Held]()  # jobs of which it must be settled what comes next
-        self.calls = deque[ListCall]()
+        self.volumes, self.jobs = dict[int, Volume](), dict[int, Held]()
+        self.turns, self.rests = dict[int, deque[Held]](), dict[int, int]()  # by key, in order
+        self.review, self.calls = deque[Held](), deque[ListCall]()  # jobs to settle, calls to make
         self.touched: dict[int, None] = {}  # nodes at which something may leave
         self.dues: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.count, self.now = 0, now
+        self.lost = self.late = 0.0  # shares of legs lost at quick nodes and of late answers
+        self.drag, self.heard = 1.0, now  # of all nodes, and when last seen
         self.taken, self.further = deque[int](), deque[int]()  # times, for the budget
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
@@ -196,14 +192,13 @@
             since = now if back else entry.started
             if back or (node.started != entry.started and 0 < since > now - self.cold_span):
                 node.cold_until, node.window, node.cut_at = since + self.cold_span, 1.0, now
-                node.drag = self._usual(node)
+                node.drag, node.eased = 1 / max(0.01, self.number("Safety.StartCapacity", 1.0)), now
             node.health, node.started = Health.READY, entry.started
             self.touched[node.id] = None
 
     def job_came(self, job: Job, now: int) -> None:
         self.now, job.units = now, job.units or 1.0  # a size that was not told counts as one
-        volume = self.volumes.get(job.volume)
-        if volume is None:
+        if (volume := self.volumes.get(job.volume)) is None:
             volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, now)
         held = self.jobs[job.id] = Held(job, self.products[job.product], volume, now)
         volume.refill(now)
@@ -287,12 +282,6 @@
                 self.review.extend(queue)
                 queue.clear()
 
-    def _usual(self, node: Node) -> float:
-        """The drag to expect of a node without news: one, or more while it warms as slowly as it may."""
-        cold = max(0, node.cold_until - self.now) / max(1, self.cold_span)
-        least = self.number("Safety.StartCapacity", 1.0)
-        return 1 / max(0.01, 1 - cold * (1 - least))
-
     def _free(self, held: Held) -> None:
         """A leg no longer counts as out: the bounds react as to an answer."""
         node, volume = held.node, held.job.volume
@@ -301,8 +290,7 @@
         held.counted = False
         flow = node.flows[volume]
         flow.before, flow.units = flow.units, flow.units - held.job.units
-        flow.out -= 1
-        node.out -= 1
+        flow.out, node.out = flow.out - 1, node.out - 1
         node.units -= held.job.units
         node.busy_flows -= flow.out == 0
         self._halve(node, flow)
@@ -328,9 +316,11 @@
         come back, or all of them together would fill a jammed node again before it is empty."""
         if not node.out:
             jam = PROBES * self.gateways * min(each.pace for each in self.products) * self.usual_units
-            keep = 0.5 ** ((self.now - node.eased) / max(EASE, jam))
+            half = max(EASE, jam)
+            keep = 0.5 ** ((self.now - node.eased) / half)
             node.floor *= keep
-            node.drag = self._usual(node) * (1 - keep) + keep * node.drag
+            usual = 1 + (self.drag - 1) * 0.5 ** ((self.now - self.heard) / half)  # as at all nodes of late
+            node.drag = usual * (1 - keep) + keep * node.drag
         node.eased = self.now
 
     def _learn(self, node: Node, held: Held, end: LegEnd) -> None:
@@ -338,9 +328,8 @@
         product, units = held.product, held.job.units
         gap = self.now - node.heard
         newest = max(SMOOTH, gap / (gap + RATE_HALF))  # guards against stale means where answers are rare
-        good = end.ending is Ending.FULFILLED
+        good, node.heard = end.ending is Ending.FULFILLED, self.now
         node.good += SMOOTH * (good - node.good)
-        node.heard = self.now
         if good:
             # Guards against taking a jam for the usual pace, after which nothing would be tried any more.
             usual = SOON * product.promised / self.usual_units
@@ -348,12 +337,23 @@
         # Guards against beating on a node that turns jobs away unseen: the wait there is the promised time.
         shut = end.ending in (Ending.FULL, Ending.UNREACHABLE)
         ratio = (product.promised if shut else end.took) / (product.pace * units) + shut
-        if good or ((shut or end.ending is Ending.TIMEOUT) and ratio > node.drag):  # these only tell more
+        silent = end.ending is Ending.TIMEOUT
+        # Guards against lost answers that look like a slow node: while more legs go unanswered at quick nodes
+        # than answers come late, the first one in a row tells nothing of its node.
+        lost = silent and node.quick and ratio >= LOST * node.drag
+        self.lost += node.quick * SMOOTH / 2 * (lost - self.lost)
+        node.quick, node.silent = ratio < LOST if good else node.quick and not (lost and node.silent), silent
+        if shut or silent:  # these only tell more; each makes the next wait longer
+            ratio = min(2 * max(ratio, node.drag), BACKOFF)
+        if good or shut or (silent and not (lost and self._lossy())):
             node.drag += newest * (ratio - node.drag)
+            self.drag += SMOOTH * (min(ratio, LOST) - self.drag)
+            self.heard = self.now
         # All jobs at a node share its queue, so the shortest promised time sets what each may take there.
         tightest = min(self.products, key=lambda each: each.promised)
         large = max(1.0, units * product.pace / tightest.pace / self.usual_units)
         late = end.took > SOON * tightest.promised * large
+        self.late += good * SMOOTH / 2 * (late - self.late)
         if late or shut or end.ending is Ending.RESET:
             self._shrink(held)
         elif good and node.out + 2 > node.window:
@@ -403,8 +403,7 @@
         if self.now < held.not_before:
             self._due(held.not_before, self.review.append, held)
             return None
-        node = held.node if held.waiting else self._place(held)
-        if node is None:
+        if (node := held.node if held.waiting else self._place(held)) is None:
             return self._answer(held)
         self._ease(node)
         needs = self._needs(held, node)
@@ -417,7 +416,6 @@
             return self._answer(held)
         if not held.waiting:
             if worth < node.floor and (node.out or self.now < node.heard + needs):
-                node.floor -= node.floor * FLOOR_STEP * FLOOR_EASE
                 return self._answer(held)
             self._hold(held, node)
         self._due(held.promised - self.edge - needs + 1, self.review.append, held)
@@ -464,8 +462,7 @@
         group = held.product.group if held.ran and held.product.effect == "keyed" else "all"
         shard = held.ran[1] if held.ran and group == "cell" else held.job.shard
         zone = held.ran[2] if held.ran and group == "zone" else -1
-        best: Node | None = None
-        whole = 0.0
+        best, whole = None, 0.0
         for node in self.nodes.values():
             fits = zone in (-1, node.zone) and shard in (-1, node.shard)
             if node.health is not Health.READY or not fits:
@@ -481,8 +478,7 @@
 
     def _hold(self, held: Held, node: Node) -> None:
         volume, key = held.job.volume, held.job.key
-        flow = node.flows.get(volume)
-        if flow is None:
+        if (flow := node.flows.get(volume)) is None:
             flow = node.flows[volume] = Flow(held.volume, 0.0)
             node.split = max(1.0, QUEUE / len(node.flows))
             for each, other in node.flows.items():
@@ -588,9 +584,13 @@
         self._list_flow((node, volume))
         held.out, held.counted, held.sent, held.node = True, True, self.now, node
         held.legs += 1
-        patience = max(held.product.promised, LOST * self._needs(held, node))
+        again = held.product.effect != "unsafe" and self._lossy()  # there may be time for another
+        patience = max(0 if again else held.product.promised, LOST * self._needs(held, node))
         self._due(self.now + patience, self._lost, (held, held.legs))
-        return Leg(job.id, held.legs - 1, node.id, patience if held.product.effect == "safe" else 0)
+        return Leg(job.id, held.legs - 1, node.id, patience if again or held.product.effect == "safe" else 0)
+
+    def _lossy(self) -> bool:
+        return max(LOSSY[0], self.late) < self.lost < LOSSY[1]
 
     def _density(self, held: Held, flow: Flow | None, node: Node) -> float:
         """Payoff for a job's time at a node: less beyond the reserve, least for a volume that is ahead."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -178,3 +178,33 @@
         desk.host.nodes[70].drag = 1.0
         desk.end(desk.pull()[0], START + 10 * SECOND, took=10 * SECOND)
     assert product.pace * 2.0 < product.promised
+
+
+def test_unanswered_legs_double_what_a_node_is_taken_to_need(desk):
+    node = desk.host.nodes[70]
+    desk.take()
+    desk.end(desk.pull()[0], START + 300 * MS, Ending.TIMEOUT, took=300 * MS)
+    assert node.drag > 300 * MS / (20 * MS * 2.0)
+
+
+def test_first_lost_answer_at_a_quick_node_tells_nothing_of_it(desk):
+    node = desk.host.nodes[70]
+    node.quick, node.heard, node.eased, desk.host.lost = True, START, START, 0.1
+    desk.take()
+    leg = desk.pull()[0]
+    assert leg.time_out < 300 * MS
+    desk.end(leg, START + 200 * MS, Ending.TIMEOUT, took=200 * MS)
+    assert node.drag == 1.0 and desk.host.lost > 0.1
+
+
+def test_many_late_answers_tell_a_jam_from_lost_ones(desk):
+    desk.host.lost, desk.host.late = 0.1, 0.2
+    desk.take()
+    assert desk.pull()[0].time_out >= 300 * MS
+
+
+def test_node_without_news_is_taken_to_need_what_all_nodes_did(desk):
+    node = desk.host.nodes[71]
+    desk.host.drag, desk.host.heard, node.eased = 4.0, START, START - 60 * SECOND
+    desk.host._ease(node)
+    assert node.drag > 3.9
