A gateway's part of a reserve always holds one job of the largest size

Cause, read from the code: with 8 to 16 gateways a part of a reserve's store held less than one large job, so that such jobs never counted as inside.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -61,9 +61,9 @@
         self.factor = host.number(at + "ValueFactor", 1.0)
         self.rate = host.number(at + "Rate", 0.0)
         self.reserve = host.number(at + "Reserve", 0.0)
-        self.burst = self.reserve and self.reserve + host.number("FamilyInfo.UnitsTop", 1.0)
+        self.top = self.reserve and host.number("FamilyInfo.UnitsTop", 1.0)
         self.share = 1.0 / max(1, gateways)
-        self.left = self.burst * self.share  # units of the reserve not yet used
+        self.left = self.reserve * self.share + self.top  # units of the reserve not yet used
         self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
         self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
         self.store, self.at = 0.0, now  # empty, for what the last life drew is unknown
@@ -71,7 +71,8 @@
 
     def refill(self, now: int) -> None:
         past, self.at = (now - self.at) / SECOND, now
-        self.left = min(self.burst * self.share, self.left + self.reserve * self.share * past)
+        part = self.reserve * self.share  # and room for one job of the largest size, however small the part
+        self.left = min(part + self.top, self.left + part * past)
         self.store = min(self.depth, self.store + self.limit * past)
         self.own *= 0.5 ** (past * SECOND / RATE_HALF)
 
