Spare work is told by the plan's usual rate, a second store beside the reserve

Cause: at full size a volume's tags at one node say nothing of whether it is beyond its share, since the node is idle for the gateway most of the time. Now units outside the reserve draw on a store that fills at this gateway's part of the plan's rate; beyond it they are spare. Also catches surges, hot volumes, a plan that asks for more. Could harm a volume whose split over gateways shifts faster than the late totals tell.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -61,9 +61,8 @@
         self.factor = host.number(at + "ValueFactor", 1.0)
         self.rate = host.number(at + "Rate", 0.0)
         self.reserve = host.number(at + "Reserve", 0.0)
-        self.top = self.reserve and host.number("FamilyInfo.UnitsTop", 1.0)
-        self.share = 1.0 / max(1, gateways)
-        self.left = self.reserve * self.share + self.top  # units of the reserve not yet used
+        self.top, self.share = host.number("FamilyInfo.UnitsTop", 1.0), 1.0 / max(1, gateways)
+        self.left = [float("inf")] * 2  # units of reserve and usual rate not yet used; full at first
         self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
         self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
         self.store, self.at = 0.0, now  # empty, for what the last life drew is unknown
@@ -71,11 +70,20 @@
 
     def refill(self, now: int) -> None:
         past, self.at = (now - self.at) / SECOND, now
-        part = self.reserve * self.share  # and room for one job of the largest size, however small the part
-        self.left = min(part + self.top, self.left + part * past)
+        for i, rate in enumerate((self.reserve, self.rate)):  # a part holds the largest job
+            self.left[i] = rate and min(rate * self.share + self.top, self.left[i] + rate * self.share * past)
         self.store = min(self.depth, self.store + self.limit * past)
         self.own *= 0.5 ** (past * SECOND / RATE_HALF)
 
+    def draw(self, units: float, now: int) -> str:
+        """The setting that tells what part of their worth these units earn; inside the reserve it is all."""
+        self.refill(now)
+        for i, part in enumerate(("", "FamilyInfo.FairWorth")):
+            if self.left[i] >= units:
+                self.left[i] -= units
+                return part
+        return "FamilyInfo.BeyondShare"
+
     def served(self, units: float, used: float, now: int) -> None:
         """The late totals tell which part of the volume comes through here; else the split stays even."""
         self.refill(now)
@@ -92,7 +100,7 @@
     def __init__(self, job: Job, product: Product, volume: Volume, now: int) -> None:
         self.job, self.product, self.volume = job, product, volume
         self.promised = min(now + product.promised, job.client_timeout)
-        self.inside = False  # its units are inside the reserve
+        self.part = volume.draw(job.units, now)  # of its worth; none is named inside the reserve
         self.legs = self.not_before = self.sent = 0
         self.node: Node | None = None  # where it waits or has a leg out
         self.waiting = self.out = self.counted = self.over = self.streaming = False
@@ -202,9 +210,6 @@
         if (volume := self.volumes.get(job.volume)) is None:
             volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, now)
         held = self.jobs[job.id] = Held(job, self.products[job.product], volume, now)
-        volume.refill(now)
-        held.inside = volume.left >= job.units
-        volume.left -= job.units if held.inside else 0.0
         if "Safety.ExtraRatio" in self.values:
             self.taken.append(now)
         if held.turn:
@@ -408,9 +413,9 @@
             return self._answer(held)
         self._ease(node)
         needs = self._needs(held, node)
-        worth = self._density(held, node.flows.get(held.job.volume), node)
+        worth = self._density(held)
         # Guards against surges that fill a node with work of little worth: it goes where answers are quick.
-        left = round(left * (worth * held.product.pace / held.product.points / held.volume.factor) ** ROOM)
+        left = round(left * self.number(held.part, 1.0) ** ROOM)
         # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
         if needs > left:
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
@@ -442,8 +447,7 @@
     def _again(self, held: Held) -> bool:
         """Whether a job may have a further leg: by its payoff, by what may have run, and by the budget."""
         most = int(self.number("Limits.MaxAttempts", 1.0))
-        worth = 1.0 if held.inside else self.number("FamilyInfo.FairWorth", 1.0)
-        if held.legs >= min(most, 1 + max(1, round((most - 1) * worth))):
+        if held.legs >= min(most, 1 + max(1, round((most - 1) * self.number(held.part, 1.0)))):
             return False
         if held.ran is not None and held.product.effect != "safe":
             lapsed = self.now + self.edge >= held.ran[0] + held.product.window
@@ -492,7 +496,7 @@
             flow.bound = max(1.0, flow.bound - 1)
         elif flow.score > 0 and flow.units < flow.before:
             flow.bound = min(float(QUEUE), flow.bound + 1)
-        queue = flow.queues[0 if held.inside else 1]
+        queue = flow.queues[1 if held.part else 0]
         (queue.appendleft if held.legs else queue.append)(held)
         held.node, held.waiting = node, True
         flow.held += 1
@@ -593,13 +597,9 @@
     def _lossy(self) -> bool:
         return max(LOSSY[0], self.late) < self.lost < LOSSY[1]
 
-    def _density(self, held: Held, flow: Flow | None, node: Node) -> float:
-        """Payoff for a job's time at a node: less beyond the reserve, least for a volume that is ahead."""
-        value = held.product.points * held.volume.factor / held.product.pace
-        if held.inside:
-            return value
-        ahead = flow is not None and flow.finish > node.time
-        return value * self.number("FamilyInfo.BeyondShare" if ahead else "FamilyInfo.FairWorth", 1.0)
+    def _density(self, held: Held) -> float:
+        """Payoff for a job's time: less beyond the reserve, least beyond the plan's usual rate."""
+        return held.product.points * held.volume.factor / held.product.pace * self.number(held.part, 1.0)
 
     def _needs(self, held: Held, node: Node) -> int:
         return round(node.drag * held.product.pace * held.job.units)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -208,3 +208,16 @@
     desk.host.drag, desk.host.heard, node.eased = 4.0, START, START - 60 * SECOND
     desk.host._ease(node)
     assert node.drag > 3.9
+
+
+def test_units_draw_on_the_reserve_then_on_the_usual_rate_then_are_spare(desk):
+    volume = desk.host.jobs[desk.take(plan=0, volume=5, units=8.0)].volume
+    parts = [volume.draw(8.0, START) for _ in range(5)]
+    assert parts == ["", "", "FamilyInfo.FairWorth", *["FamilyInfo.BeyondShare"] * 2]
+
+
+def test_part_of_a_reserve_holds_the_largest_job_however_many_gateways_share_it(desk):
+    volume = desk.host.jobs[desk.take(plan=0, volume=5)].volume
+    volume.share = 0.001
+    volume.refill(START)
+    assert volume.draw(8.0, START) == ""
