A node's needs ease within one job of each gateway; chance keeps gateways out of step

Cause: many gateways cross the same threshold of answer time at once and cease or begin to send together; half-lives of two jobs of each gateway kept nodes unused that had recovered. Change: one job of each gateway, and a new job needs, by chance, between three and five quarters of the time that is left. Could harm by sending a few jobs that are late.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -24,7 +24,6 @@
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
 SOON = 0.3  # share of the shortest promised time an answer may take before the window shrinks; short queues
-PROBES = 2  # a node's time against that of one job from each gateway as it eases; the rest is for recovery
 ROOM = 0.3  # power of a job's part of the worth in the time it may need; higher turns away more of the spare
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 LOSSY = (0.04, 0.4)  # shares of legs lost at quick nodes between which answers are lost; more is a jam
@@ -321,7 +320,7 @@
         """What a node is taken to need falls back to the usual without news: the slower, the more gateways
         come back, or all of them together would fill a jammed node again before it is empty."""
         if not node.out:
-            jam = PROBES * self.gateways * min(each.pace for each in self.products) * self.usual_units
+            jam = self.gateways * min(each.pace for each in self.products) * self.usual_units
             half = max(EASE, jam)
             keep = 0.5 ** ((self.now - node.eased) / half)
             node.floor *= keep
@@ -414,8 +413,10 @@
         self._ease(node)
         needs = self._needs(held, node)
         worth = self._density(held)
-        # Guards against surges that fill a node with work of little worth: it goes where answers are quick.
-        left = round(left * self.number(held.part, 1.0) ** ROOM)
+        # Guards against surges that fill a node with work of little worth: it goes where answers are quick;
+        # and, by chance, against gateways that all begin or cease to send at one answer time.
+        chance = 1.0 if held.waiting else 0.25 + self._spread()
+        left = round(left * chance * self.number(held.part, 1.0) ** ROOM)
         # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
         if needs > left:
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
@@ -436,8 +437,7 @@
         """A denial says that nothing ran or that a repeat is harmless; else the job is written off."""
         held.over = True
         self._unhold(held)
-        product = held.product
-        repeats = product.effect == "safe" or (product.effect == "keyed" and product.group == "all")
+        repeats = held.product.effect == "safe" or (held.product.effect, held.product.group) == ("keyed", "all")
         denied = held.ran is None or repeats
         self._close(held)
         advice = denied and self.text("Limits.RetryAfter", "false") == "true"
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -157,6 +157,7 @@
 def test_work_of_little_worth_goes_only_where_answers_are_quick(desk):
     node = desk.host.nodes[70]
     node.drag, node.eased, desk.host.products[0].pace = 6.0, START, 20.0 * MS
+    desk.host._spread = lambda: 0.75
     inside = desk.take(plan=0)
     beyond = desk.take(plan=2, volume=2)
     said = desk.pull()
