--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -415,10 +415,10 @@
         worth = self._density(held)
         # Guards against surges that fill a node with work of little worth: it goes where answers are quick;
         # and, by chance, against gateways that all begin or cease to send at one answer time.
-        chance = 1.0 if held.waiting else 0.25 + self._spread()
-        left = round(left * chance * self.number(held.part, 1.0) ** ROOM)
+        room = self.number(held.part, 1.0) ** ROOM * (1.0 if held.waiting else 0.25 + self._spread())
         # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
-        if needs > left:
+        least = held.product.pace * held.job.units  # needed at a node that is as quick as usual
+        if needs > left or needs - least > room * (left - least):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
             return self._answer(held)
         if not held.waiting:
@@ -437,8 +437,8 @@
         """A denial says that nothing ran or that a repeat is harmless; else the job is written off."""
         held.over = True
         self._unhold(held)
-        repeats = held.product.effect == "safe" or (held.product.effect, held.product.group) == ("keyed", "all")
-        denied = held.ran is None or repeats
+        effect, group = held.product.effect, held.product.group
+        denied = held.ran is None or effect == "safe" or (effect == "keyed" and group == "all")
         self._close(held)
         advice = denied and self.text("Limits.RetryAfter", "false") == "true"
         away = round(self.number("Limits.MaxRetryAfter", 0.0) * MS * self._spread()) if advice else 0
