--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -29,6 +29,7 @@
 LOSSY = (0.04, 0.4)  # shares of legs lost at quick nodes between which answers are lost; more is a jam
 BACKOFF = 64.0  # the most that a node which answers nothing is taken to need, in usual answer times
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
+GROW = 0.5  # jobs by which the window grows for each window of timely answers; far slower than it shrinks
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
 EASE = 1350 * MS  # ns in which a node's drag and floor halve at the least; a jam of a few gateways is gone
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
@@ -169,8 +170,7 @@
             self.calls.append(ListCall.FOLLOW)
 
     def text(self, name: str, default: str | None = None) -> str:
-        value = self.values.get(name, default)
-        if value is None:
+        if (value := self.values.get(name, default)) is None:
             raise MissingValue(f"the settings lack {name}")
         return value
 
@@ -362,7 +362,7 @@
         if late or shut or end.ending is Ending.RESET:
             self._shrink(held)
         elif good and node.out + 2 > node.window:
-            node.window = min(float(QUEUE), node.window + 1 / node.window)
+            node.window = min(float(QUEUE), node.window + GROW / node.window)
 
     def _halve(self, node: Node, flow: Flow) -> None:
         if node.busy_flows > 1 and node.units > CAPACITY and flow.units > node.units / node.busy_flows:
