--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,10 +1,10 @@
 """What the seven rules ask of the decisions."""
 
 import pytest
-from conftest import NODES, START
+from conftest import NODES, START, VALUES
 
-from ochrecourse.decide import MS, SECOND
-from ochrecourse.interface import Answer, Ending, Health, Leg, ListKind, MissingValue, NodeEntry, Verdict
+from ochrecourse.decide import MS, SECOND, Host
+from ochrecourse.interface import Answer, Ending, Health, Job, Leg, ListKind, MissingValue, NodeEntry, Verdict
 
 
 def test_held_job_is_denied_when_its_promised_time_is_lost(desk):
@@ -136,3 +136,21 @@
     desk = make_desk(Safety__StartCapacity="0.25")
     desk.host.list_came(ListKind.DELTA, [NodeEntry(70, 0, 0, Health.READY, START)], START)
     assert desk.host.nodes[70].drag == pytest.approx(4.0)
+
+
+def test_odd_figures_of_jobs_and_settings_are_borne(make_desk):
+    bare = make_desk(Instances="0", FamilyInfo__ColdUnits="0", Policies__0__Rate="0")
+    nowhere = bare.take(shard=9)
+    assert [(said.job, said.answer) for said in bare.pull()] == [(nowhere, Answer.DENIED)]
+    bare.host.job_came(Job(99, 0, 7, 3, 0, 0.0, 0, 0, START + SECOND), START)
+    leg = bare.pull()[0]
+    assert leg.job == 99
+    bare.end(Leg(5, 0, 70, 0), START)
+    bare.end(Leg(99, 0, 7, 0), START)
+    assert bare.host.nodes[70].out == 1
+
+
+def test_job_before_any_list_is_denied():
+    host = Host(VALUES, 7, START)
+    host.job_came(Job(1, 0, 0, 1, 0, 2.0, 0, 900, START + SECOND), START)
+    assert host.decide(START).answer is Answer.DENIED
