--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -25,9 +25,10 @@
 FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
 SOON = 0.3  # share of the shortest promised time an answer may take before the window shrinks; short queues
 ROOM = 0.5  # power of the part of the worth in the room a job has beyond the usual; higher denies more
+LEEWAY = 0.25  # added to a chance between a half and one, so that the room is right in the mean
 LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
 LOSSY = (0.04, 0.4)  # shares of legs lost at quick nodes between which answers are lost; more is a jam
-BACKOFF = 64.0  # the most that a node which answers nothing is taken to need, in usual answer times
+BACKOFF = (2, 64.0)  # factor for each unanswered leg on what a node needs, and the most in usual answer times
 CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
 GROW = 0.5  # jobs by which the window grows for each window of timely answers; far slower than it shrinks
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
@@ -154,7 +155,7 @@
         self.cold_span = round(self.number("Safety.Cold", 0.0) * MS)
         self.cold_units = self.number("FamilyInfo.ColdUnits", 0.0) / self.gateways
         self.settle = round(self.number("Safety.OrderSettle", 0.0) * MS)
-        self.usual_units = self.number("FamilyInfo.UsualUnits", 1.0)
+        self.usual_units = self.number("FamilyInfo.UsualUnits", 1.0) or 1.0
         self.edge = 2 * round(self.number("Period", 1.0) * MS)
         self.nodes: dict[int, Node] = {}
         self.volumes, self.jobs = dict[int, Volume](), dict[int, Held]()
@@ -320,8 +321,7 @@
         """What a node is taken to need falls back to the usual without news: the slower, the more gateways
         come back, or all of them together would fill a jammed node again before it is empty."""
         if not node.out:
-            jam = self.gateways * min(each.pace for each in self.products) * self.usual_units
-            half = max(EASE, jam)
+            half = max(EASE, self.gateways * min(each.pace for each in self.products) * self.usual_units)
             keep = 0.5 ** ((self.now - node.eased) / half)
             node.floor *= keep
             usual = 1 + (self.drag - 1) * 0.5 ** ((self.now - self.heard) / half)  # as at all nodes of late
@@ -349,7 +349,7 @@
         self.lost += node.quick * SMOOTH / 2 * (lost - self.lost)
         node.quick, node.silent = ratio < LOST if good else node.quick and not (lost and node.silent), silent
         if shut or silent:  # these only tell more; each makes the next wait longer
-            ratio = min(2 * max(ratio, node.drag), BACKOFF)
+            ratio = min(BACKOFF[0] * max(ratio, node.drag), BACKOFF[1])
         if good or shut or (silent and not (lost and self._lossy())):
             node.drag += newest * (ratio - node.drag)
             self.drag += SMOOTH * (min(ratio, LOST) - self.drag)
@@ -415,7 +415,7 @@
         worth = self._density(held)
         # Guards against surges that fill a node with work of little worth: it goes where answers are quick;
         # and, by chance, against gateways that all begin or cease to send at one answer time.
-        room = self.number(held.part, 1.0) ** ROOM * (1.0 if held.waiting else 0.25 + self._spread())
+        room = self.number(held.part, 1.0) ** ROOM * (1.0 if held.waiting else LEEWAY + self._spread())
         # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
         least = held.product.pace * held.job.units  # needed at a node that is as quick as usual
         if needs > left or needs - least > room * (left - least):
