--- /dev/null
+++ b/ochrecourse/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Judges the seven rules from what both ends of the sockets recorded."""
--- /dev/null
+++ b/ochrecourse/audit/records.py
@@ -0,0 +1,207 @@
+"""What both ends of the sockets write down: one JSON line each, told apart by "r". Times are ns of one clock.
+
+The clock is the host's monotonic clock, which all processes of a machine share, or the virtual clock of a day
+in one process. Clients, nodes and list servers record what crossed their own end; nothing here comes from a
+gateway.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import IO, Protocol
+
+import msgspec
+
+
+class Record(msgspec.Struct, tag_field="r", omit_defaults=True, kw_only=True, gc=False):
+    """What all records have: when it happened."""
+
+    t: int
+
+
+class Asked(Record, tag="asked"):
+    """A client sent a job on one of its connections; `timeout` in ns."""
+
+    gateway: str
+    conn: int
+    id: int
+    trace: str
+    product: str
+    plan: str
+    volume: int
+    key: int
+    units: float
+    timeout: int
+    retry: bool = False
+
+
+class Told(Record, tag="told"):
+    """A client heard something final about a job. `how`: fulfilled, denied, written_off, refused, left."""
+
+    gateway: str
+    conn: int
+    id: int
+    trace: str
+    how: str
+
+
+class Left(Record, tag="left"):
+    """A client stopped waiting before its timeout and said so."""
+
+    gateway: str
+    conn: int
+    id: int
+    trace: str
+
+
+class ConnLost(Record, tag="conn_lost"):
+    """A client's connection ended."""
+
+    gateway: str
+    conn: int
+
+
+class Killed(Record, tag="killed"):
+    """A gateway's process was killed."""
+
+    gateway: str
+
+
+class Started(Record, tag="started"):
+    """A gateway's process runs."""
+
+    gateway: str
+
+
+class NodeUp(Record, tag="node_up"):
+    """A node started. `capacity`: core-ns of work a second when warm; `cold_for` in ns, 0 if it is warm."""
+
+    node: int
+    shard: int
+    zone: int
+    capacity: float
+    cold_from: float = 1.0
+    cold_for: int = 0
+
+
+class NodeDown(Record, tag="node_down"):
+    """A node's process ended. `fell`: pushed over while cold."""
+
+    node: int
+    fell: bool = False
+
+
+class LegCame(Record, tag="leg_came"):
+    """A leg's header reached a node; `work` in core-ns."""
+
+    node: int
+    gateway: str
+    conn: int
+    id: int
+    mark: str
+    trace: str
+    number: int
+    product: str
+    volume: int
+    key: int
+    units: float
+    work: float
+
+
+class LegOver(Record, tag="leg_over"):
+    """A leg ended at its node. `how`: done, failed, full, moot (not held here), cancelled, cut."""
+
+    node: int
+    conn: int
+    id: int
+    how: str
+
+
+class LegGivenUp(Record, tag="given_up"):
+    """The gateway's cancel of a leg reached its node."""
+
+    node: int
+    conn: int
+    id: int
+
+
+class Effect(Record, tag="effect"):
+    """A leg had its effect at a node."""
+
+    node: int
+    mark: str
+    trace: str
+    product: str
+    units: float
+
+
+class ListTold(Record, tag="list_told"):
+    """The list server told a gateway of a node. `started`: when the node was started, 0 if long ago."""
+
+    gateway: str
+    node: int
+    health: str
+    started: int
+
+
+class Trouble(Record, tag="trouble"):
+    """Something was broken on purpose, or mended."""
+
+    kind: str
+    what: str
+
+
+Any = (
+    Asked | Told | Left | ConnLost | Killed | Started | NodeUp | NodeDown | LegCame | LegOver | LegGivenUp |
+    Effect | ListTold | Trouble
+)  # fmt: skip
+
+_decoder = msgspec.json.Decoder(Any)
+_encoder = msgspec.json.Encoder()
+
+
+class BadRecord(Exception):
+    """A line of a record that is not one; the text names file and line."""
+
+
+class Recorder(Protocol):
+    """Where records go."""
+
+    def __call__(self, record: Record, /) -> None: ...
+
+
+def nowhere(record: Record) -> None:
+    """For runs that keep no record."""
+
+
+class ToFile:
+    """Records into a file, buffered; `close` writes the rest."""
+
+    def __init__(self, path: Path) -> None:
+        self.file: IO[bytes] = open(path, "wb", buffering=1 << 20)  # noqa: SIM115
+
+    def __call__(self, record: Record) -> None:
+        self.file.write(_encoder.encode(record) + b"\n")
+
+    def close(self) -> None:
+        self.file.close()
+
+
+def encode(record: Record) -> bytes:
+    return _encoder.encode(record)
+
+
+def read(paths: Iterable[Path]) -> Iterator[Any]:
+    """All records of some files, a file after the other; a cut last line (a killed process) is skipped.
+    Raises BadRecord.
+    """
+    for path in paths:
+        with open(path, "rb") as file:
+            for number, line in enumerate(file, 1):
+                try:
+                    yield _decoder.decode(line)
+                except msgspec.DecodeError as trouble:
+                    if not line.endswith(b"\n"):
+                        continue
+                    raise BadRecord(f"{path}:{number}: {trouble}") from None
--- /dev/null
+++ b/ochrecourse/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and the daemon."""
--- /dev/null
+++ b/ochrecourse/cli/settings.py
@@ -0,0 +1,58 @@
+"""`check` and `show`."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from ochrecourse.settings.load import Refused, load, write
+from ochrecourse.settings.plain import plain_map
+
+
+def read_or_exit(path: Path) -> dict[str, object]:
+    """The record of a settings file; its mistakes go to standard error and end the command with 1."""
+    try:
+        return load(path)
+    except Refused as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(1)
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a mistake.")
+def check(files: tuple[Path, ...], as_json: bool) -> None:
+    """Check settings FILES; one line for each mistake, exit code 1 if there is any."""
+    wrong = 0
+    for path in files:
+        try:
+            load(path)
+        except Refused as trouble:
+            wrong += len(trouble.troubles)
+            for each in trouble.troubles:
+                place = {"file": each.place.file, "line": each.place.line, "column": each.place.column}
+                click.echo(json.dumps({**place, "text": each.text}) if as_json else str(each))
+    if not wrong and not as_json:
+        click.echo(f"{len(files)} file{'s' * (len(files) > 1)} without a mistake")
+    sys.exit(1 if wrong else 0)
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option(
+    "--json", "as_json", is_flag=True, help="The resolved record as JSON: spans in ms, sizes in bytes."
+)
+@click.option("--plain", is_flag=True, help="The plain map of names to values that the decisions read.")
+def show(file: Path, as_json: bool, plain: bool) -> None:
+    """Show the settings of FILE as they resolve, with every default."""
+    record = read_or_exit(file)
+    if plain:
+        for name, value in sorted(plain_map(record).items()):
+            click.echo(f"{name}={value}")
+    elif as_json:
+        click.echo(json.dumps(record, indent=2))
+    else:
+        click.echo(write(record), nl=False)
--- /dev/null
+++ b/ochrecourse/durable/__init__.py
@@ -0,0 +1,1 @@
+"""Records that survive crashes."""
--- /dev/null
+++ b/ochrecourse/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The library: one host's decisions, fed from sockets and carried out on them."""
--- /dev/null
+++ b/ochrecourse/gateway/daemon.py
@@ -0,0 +1,147 @@
+"""What a daemon holds: a gateway, its front, its list, its health page. The process around it is in the
+command line.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from ochrecourse.gateway.front import FrontFactory
+from ochrecourse.gateway.gateway import Gateway, Observer
+from ochrecourse.membership.follower import Follower
+from ochrecourse.membership.view import News
+from ochrecourse.outside import MS, SECOND, Network, now_ns
+from ochrecourse.settings.load import address
+from ochrecourse.settings.plain import plain_map
+
+LAST_WORDS = 0.2  # s for the last answers to leave before the process ends
+
+# What a running gateway takes over from settings that are read again; the rest needs a restart.
+MAY_CHANGE = ("log.level", "log.sample", "clients.open_jobs", "clients.connections")
+
+
+class Daemon:
+    """A gateway as it serves. `record` is a resolved settings record; `gone` is called when it has left."""
+
+    def __init__(
+        self,
+        record: Mapping[str, Any],
+        network: Network,
+        observers: Sequence[Observer],
+        warn: Callable[[str], None],
+        gone: Callable[[], None],
+    ) -> None:
+        self.record = record
+        self.network = network
+        self.gone = gone
+        own = record["gateway"]
+        seed = own["seed"] or random.SystemRandom().getrandbits(63)
+        self.gateway = Gateway(
+            plain_map(record), seed, network, own["name"], round(own["travel"] * MS), observers
+        )  # fmt: skip
+        self.front = FrontFactory(self.gateway, network, record["clients"]["connections"])
+        where = address(record["list"]["address"])
+        assert where is not None  # checked when the settings were read
+        kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
+        self.follower = Follower(own["name"], network, where, self._news, kept, seed ^ 0x5DEECE66D, warn)
+        self.listening: Any = None
+
+    def start(self) -> tuple[str, int]:
+        """Serves from now on; returns the address that it listens on. Raises CannotListenError."""
+        host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
+        self.follower.start()
+        self.listening = self.network.listenTCP(port, self.front, backlog=4096, interface=host)
+        at = self.listening.getHost()
+        return at.host, at.port
+
+    def drain(self) -> None:
+        """Nothing new is taken; when all that is held has its answer, everything is closed and `gone` is
+        called.
+        """
+        if self.gateway.leaving.takes():
+            self.front.say_bye()
+            self.gateway.left.append(self._left)
+            self.gateway.drain()
+
+    def ready(self) -> tuple[bool, str]:
+        """Whether new jobs are of any use here, and why not."""
+        if not self.gateway.leaving.takes():
+            return False, "leaving"
+        if not self.gateway.entries:
+            return False, "no list of nodes"
+        if self.gateway.ledger.open >= self.gateway.max_open:
+            return False, "no room for more jobs"
+        return True, "ready"
+
+    def take_over(self, record: Mapping[str, Any]) -> tuple[list[str], list[str]]:
+        """Settings that were read again: what changed and is in force now, and what needs a restart."""
+        taken: list[str] = []
+        left: list[str] = []
+        for path, old, new in changes(self.record, record):
+            (taken if path in MAY_CHANGE else left).append(f"{path}: {old} to {new}")
+        self.gateway.max_open = record["clients"]["open_jobs"]
+        self.front.most = record["clients"]["connections"]
+        kept = {name: dict(part) if isinstance(part, Mapping) else part for name, part in self.record.items()}
+        kept["log"] = record["log"]
+        kept["clients"] = {
+            **kept["clients"],
+            "open_jobs": record["clients"]["open_jobs"],
+            "connections": record["clients"]["connections"],
+        }
+        self.record = kept
+        return taken, left
+
+    def figures(self) -> dict[str, float]:
+        """What the metrics page shows, by name."""
+        gateway = self.gateway
+        now = now_ns(self.network)
+        age = self.follower.view.age(now)
+        told: dict[str, float] = {
+            "jobs_taken_total": gateway.ledger.taken,
+            "jobs_denied_at_door_total": gateway.denied_at_door,
+            "jobs_open": gateway.ledger.open,
+            "jobs_open_limit": gateway.max_open,
+            "legs_total": gateway.ledger.legs,
+            "legs_further_total": gateway.ledger.further,
+            "legs_out": len(gateway.nodes.out),
+            "node_connections": gateway.nodes.open_connections(),
+            "client_connections": len(self.front.fronts),
+            "client_connections_limit": self.front.most,
+            "nodes_listed": len(gateway.entries),
+            "list_age_seconds": -1.0 if age is None else age / SECOND,
+            "list_epoch": self.follower.view.epoch,
+            "list_gaps_total": self.follower.view.gaps,
+            "loop_late_worst_seconds": gateway.lateness.worst / SECOND,
+        }
+        for closing, count in gateway.ledger.closings.items():
+            told[f'jobs_total{{ending="{closing.value}"}}'] = count
+        for ending, count in gateway.ledger.endings.items():
+            told[f'leg_endings_total{{ending="{ending.value}"}}'] = count
+        for source in (gateway.nodes.counts, self.front.counts, self.follower.counts):
+            for what, count in source.items():
+                told[f'events_total{{what="{what}"}}'] = count
+        return told
+
+    def _news(self, news: News) -> None:
+        self.gateway.list_came(news.kind, news.entries, news.addresses)
+
+    def _left(self) -> None:
+        self.listening.stopListening()
+        self.follower.stop()
+        self.front.close()
+        self.network.callLater(LAST_WORDS, self.gone)
+
+
+def changes(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
+    """Where two records differ: path, old value, new value."""
+    if isinstance(old, Mapping) and isinstance(new, Mapping):
+        names = sorted({*old, *new})
+        return [
+            each
+            for name in names
+            for each in changes(old.get(name), new.get(name), f"{path}.{name}" if path else name)
+        ]
+    return [] if old == new else [(path, old, new)]
--- /dev/null
+++ b/ochrecourse/gateway/gateway.py
@@ -0,0 +1,370 @@
+"""The library: one host's decisions, fed with what happens and carried out on the nodes.
+
+    gateway = Gateway(values, seed, network, name)        # nothing global: clock, network and seed are handed
+    in gateway.list_came(ListKind.FULL, entries, addresses) gateway.take(request, asker)
+    # the asker hears exactly one answer
+
+It decides nothing about a job. Every report goes to `decide.Host`; then its decisions are pulled one by one
+until none is left; legs, answers and list calls are carried out; one timer brings it back at `next_due`.
+Several gateways can live in one process, on the real reactor or a virtual clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ochrecourse.decide import Host
+from ochrecourse.gateway.lateness import Lateness
+from ochrecourse.gateway.leaving import Leaving, Stage
+from ochrecourse.gateway.ledger import Closing, JobStory, Ledger
+from ochrecourse.gateway.spool import Spool
+from ochrecourse.interface import Answer, Decisions, Job, Leg, LegEnd, ListCall, ListKind, NodeEntry, Verdict
+from ochrecourse.nodes.client import LegOut, NodeClient
+from ochrecourse.nodes.pool import PoolLimits
+from ochrecourse.nodes.proof import PROVES, Seen
+from ochrecourse.outside import MS, SECOND, Network, Timer, now_ns, stop
+from ochrecourse.wire import messages as m
+
+
+@dataclass(slots=True)
+class Request:
+    """What a front took from a client. `timeout` in ns from `read_at`, the time at which it was read."""
+
+    product: str
+    plan: str
+    volume: int
+    timeout: int
+    read_at: int
+    key: int = 0
+    units: float = 1.0
+    shard: int = -1
+    gateways: int = 1
+    trace: str = ""
+    body: Spool | None = None
+
+
+class Asker(Protocol):
+    """Who waits for a job's answer: exactly one of `fulfilled`, `denied`, `written_off` is called, if any
+    client is left.
+
+    After `fulfilled` come the pieces of its body; `broke_off` says that the rest will not come.
+    """
+
+    def fulfilled(self, job: int, size: int, shard: int) -> None: ...
+
+    def piece(self, job: int, data: bytes) -> None: ...
+
+    def broke_off(self, job: int) -> None: ...
+
+    def denied(self, job: int, come_back: int) -> None: ...
+
+    def written_off(self, job: int) -> None: ...
+
+
+class Observer(Protocol):
+    """Who looks on: a job's whole story once it is over."""
+
+    def job_over(self, gateway: Gateway, story: JobStory) -> None: ...
+
+
+class BadRequest(Exception):
+    """A job that can't be taken: `code` for counters, the text for the client."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class _Kinds:
+    """The products and plans by name, and what a node must be told of a product."""
+
+    def __init__(self, values: Mapping[str, str]) -> None:
+        count = int(values.get("Classes.count", "0"))
+        writes = values.get("FamilyInfo.Writes", "").split(",")
+        self.names = [values.get(f"Classes.{i}.Name", str(i)) for i in range(count)]
+        self.products = {name: i for i, name in enumerate(self.names)}
+        plans = int(values.get("Policies.count", "0"))
+        self.plan_names = [values.get(f"Policies.{i}.Name", str(i)) for i in range(plans)]
+        self.plans = {name: i for i, name in enumerate(self.plan_names)}
+        self.writes = [i < len(writes) and writes[i] == "true" for i in range(count)]
+        self.effects = [values.get(f"Classes.{i}.Effect", "safe") for i in range(count)]
+        self.windows = [float(values.get(f"Classes.{i}.Window", "0")) for i in range(count)]
+
+
+def _number(values: Mapping[str, str], name: str, default: float) -> float:
+    return float(values.get(name, default))
+
+
+class _Task:
+    """A job between its request and its end: what the gateway needs to carry it out."""
+
+    __slots__ = ("answer_left", "asker", "leg", "request", "story")
+
+    def __init__(self, request: Request, asker: Asker, story: JobStory) -> None:
+        self.request = request
+        self.asker = asker
+        self.story = story
+        self.leg: LegOut | None = None
+        self.answer_left = 0
+
+
+class Gateway:
+    """One host. `values` is the plain map that the decisions read; connection figures come from the same map.
+    """
+
+    def __init__(
+        self,
+        values: Mapping[str, str],
+        seed: int,
+        network: Network,
+        name: str,
+        travel: int = 0,
+        observers: Sequence[Observer] = (),
+        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
+    ) -> None:
+        """`travel`: ns that an answer takes to its client; `decisions`: what makes the host's decisions."""
+        self.name = name
+        self.clock = network
+        self.mark = (
+            f"{name}/{seed & 0xFFFFFFFF:08x}"  # of this life; no other life of this name may have the seed
+        )
+        self.travel = travel
+        self.observers = observers
+        self.kinds = _Kinds(values)
+        self.max_open = int(_number(values, "Limits.MaxOpen", 20_000))
+        limits = PoolLimits(
+            legs=int(_number(values, "Limits.Multiplex", 32)),
+            connections=int(_number(values, "Limits.Connections", 4)),
+            dials=int(_number(values, "Limits.Dials", 16)),
+            idle=round(_number(values, "Limits.IdleClose", 15_000) * MS),
+        )
+        self.addresses: dict[int, tuple[str, int]] = {}
+        dial_time = _number(values, "Limits.DialTimeout", 250) / 1000
+        self.nodes = NodeClient(name, network, limits, dial_time, self.addresses.get)
+        self.host = decisions(values, seed, now_ns(network))
+        self.ledger = Ledger()
+        self.leaving = Leaving()
+        self.lateness = Lateness()
+        self.tasks: dict[int, _Task] = {}
+        self.followed = False  # the decisions asked for the list of nodes
+        self.follow: Callable[[], None] | None = None
+        self.left: list[Callable[[], None]] = []  # called when the gateway has left
+        self.entries: dict[int, NodeEntry] = {}
+        self.denied_at_door = 0
+        self._count = 0
+        self._pulling = False
+        self._timer: Timer | None = None
+        self._due = 0
+
+    # --- what is reported ---
+
+    def list_came(
+        self, kind: ListKind, entries: Sequence[NodeEntry], addresses: Mapping[int, tuple[str, int]]
+    ) -> None:
+        """A list of nodes, as the membership room passes it on; times of starts on this host's clock."""
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            self.entries.clear()
+        self.entries.update({entry.node: entry for entry in entries})
+        self.addresses.update(addresses)
+        self.host.list_came(kind, entries, now_ns(self.clock))
+        self._pull()
+
+    def take(self, request: Request, asker: Asker) -> int:
+        """Takes a job, whose number is returned; its asker hears of it later or at once. Raises BadRequest.
+        """
+        product = self.kinds.products.get(request.product)
+        plan = self.kinds.plans.get(request.plan)
+        if product is None:
+            raise BadRequest("unknown_product", f"there is no product {request.product!r}")
+        if plan is None:
+            raise BadRequest("unknown_plan", f"there is no plan {request.plan!r}")
+        if not 0 < request.units < 1e9 or not 0 < request.timeout < 1e15 or not 1 <= request.gateways < 1e6:
+            raise BadRequest("bad_figure", "units, timeout and gateways must be above 0")
+        job = self.next_number()
+        self._count += 1
+        if not self.leaving.takes() or self.ledger.open >= self.max_open:
+            self.denied_at_door += 1
+            if request.body is not None:
+                request.body.close()
+            asker.denied(job, 0)
+            return job
+        now = now_ns(self.clock)
+        due = self.lateness.sent_at(request.read_at) + request.timeout - self.travel
+        story = JobStory(
+            job, product, plan, request.volume, request.units, now, due, due + self.travel // 2, request.trace
+        )
+        self.ledger.take(story)
+        self.tasks[job] = _Task(request, asker, story)
+        told = Job(
+            job, product, plan, request.volume, request.key, request.units, request.shard, request.gateways,
+            due
+        )  # fmt: skip
+        self.host.job_came(told, now)
+        self._pull()
+        return job
+
+    def next_number(self) -> int:
+        """The number that the next job will have; its answer may come before `take` returns."""
+        return self._count + 1
+
+    def leave(self, job: int) -> None:
+        """The client of a job no longer waits."""
+        if self.ledger.answer(job, Closing.CLIENT_GONE, now_ns(self.clock)) is not None:
+            self.host.job_gone(job)
+            self._over(self.tasks[job])
+            self._pull()
+        elif (task := self.tasks.get(job)) is not None and task.leg is not None:
+            self.nodes.cancel(task.leg)  # its answer had begun; nobody reads the rest
+
+    def room(self, job: int, size: int) -> None:
+        """The client took so many more bytes of its answer."""
+        task = self.tasks.get(job)
+        if task is not None and task.leg is not None:
+            self.nodes.grant(task.leg, size)
+
+    def drain(self) -> None:
+        """Nothing new is taken from now on; `left` is called when all that is held has its answer."""
+        now = now_ns(self.clock)
+        if self.leaving.begin(now, self.ledger.latest_due()):
+            self.clock.callLater(max(0, self.leaving.latest - now) / SECOND + 0.001, self._look_at_leaving)
+            self._look_at_leaving()
+
+    def stop(self) -> None:
+        """Ends everything at once, as a kill does, but tidily."""
+        self.leaving.stage = Stage.LEFT
+        stop(self._timer)
+        self._timer = None
+        self.nodes.close()
+
+    # --- the nodes' side (nodes.client.Taker) ---
+
+    def began(self, leg: LegOut, answer: m.Done) -> None:
+        task = self.tasks[leg.job]
+        if answer.size > answer.body:
+            task.story.streaming = True
+            self.host.stream_began(task.story.number)
+        if self.ledger.answer(task.story.number, Closing.FULFILLED, now_ns(self.clock)) is not None:
+            task.answer_left = answer.size
+            task.asker.fulfilled(task.story.number, answer.size, answer.shard)
+
+    def piece(self, leg: LegOut, data: bytes) -> None:
+        task = self.tasks[leg.job]
+        if task.story.closing is Closing.FULFILLED:
+            task.answer_left -= len(data)
+            task.asker.piece(task.story.number, data)
+        else:
+            self.nodes.grant(leg, len(data))  # nobody waits: let the node finish
+
+    def ended(self, leg: LegOut, seen: Seen, answer: m.Any | None) -> None:
+        job = leg.job
+        task = self.tasks[job]
+        proof = PROVES[seen]
+        now = now_ns(self.clock)
+        story, _ = self.ledger.ended(job, leg.message.number, proof.ending, seen.value, now)
+        task.leg = None
+        if task.answer_left and seen is not Seen.DONE:
+            task.answer_left = 0
+            self.ledger.broke_off(story)
+            task.asker.broke_off(job)
+        told = answer if isinstance(answer, m.NodeAnswer) else None
+        end = LegEnd(
+            job=job,
+            number=leg.message.number,
+            node=leg.node,
+            ending=proof.ending,
+            took=now - leg.sent_at,
+            last=story.closing is not None,
+            volume_used=told.used if told else -1.0,
+            elsewhere=told.elsewhere if told else 0,
+            load=told.load if told else {},
+        )
+        self.host.leg_ended(end, now)
+        self._over(task)
+        self._pull()
+
+    # --- the one timer and the pull ---
+
+    def _pull(self) -> None:
+        """Carries out decisions until there are none; reports made meanwhile are seen by the same loop."""
+        if self._pulling or self.leaving.stage is Stage.LEFT:
+            return
+        self._pulling = True
+        try:
+            while (said := self.host.decide(now := now_ns(self.clock))) is not None:
+                if isinstance(said, Leg):
+                    self._send(said, now)
+                elif isinstance(said, Verdict):
+                    self._answer(said, now)
+                elif said is ListCall.FOLLOW:
+                    self.followed = True
+                    if self.follow is not None:
+                        self.follow()
+        finally:
+            self._pulling = False
+        due = self.host.next_due()
+        if self._timer is None or due < self._due:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._due = max(due, now)
+            self._timer = self.clock.callLater((self._due - now) / SECOND, self._woke)
+
+    def _woke(self) -> None:
+        self._timer = None
+        if self.lateness.timer_came(self._due, now_ns(self.clock)):
+            self.clock.callLater(0, self.lateness.turned)
+        self._pull()
+
+    def _send(self, said: Leg, now: int) -> None:
+        story = self.ledger.send(said.job, said.number, said.node, now)
+        if story is None:
+            return
+        task = self.tasks[said.job]
+        request, product = task.request, story.product
+        left = story.due - now
+        time_out = min(said.time_out, left) if said.time_out else left
+        message = m.LegSent(
+            id=0,
+            mark=f"{self.mark}/{said.job}",
+            product=request.product,
+            volume=request.volume,
+            key=request.key,
+            units=request.units,
+            shard=request.shard,
+            number=said.number,
+            write=self.kinds.writes[product],
+            effect=self.kinds.effects[product],
+            window_ms=self.kinds.windows[product],
+            patience_ms=round(time_out / MS, 3),
+            size=request.body.size if request.body else 0,
+            trace=request.trace,
+        )
+        task.leg = self.nodes.send(said.job, said.node, message, request.body, time_out, self)
+
+    def _answer(self, said: Verdict, now: int) -> None:
+        denied = said.answer is Answer.DENIED
+        story = self.ledger.answer(said.job, Closing.DENIED if denied else Closing.WRITTEN_OFF, now)
+        task = self.tasks.get(said.job)
+        if task is None:
+            return
+        if story is not None and denied:
+            task.asker.denied(said.job, said.come_back)
+        elif story is not None:
+            task.asker.written_off(said.job)
+        self._over(task)
+
+    def _over(self, task: _Task) -> None:
+        if self.ledger.forget(task.story):
+            del self.tasks[task.story.number]
+            if task.request.body is not None:
+                task.request.body.close()
+            for observer in self.observers:
+                observer.job_over(self, task.story)
+            self._look_at_leaving()
+
+    def _look_at_leaving(self) -> None:
+        if self.leaving.look(now_ns(self.clock), self.ledger.open, len(self.tasks)):
+            self.stop()
+            for call in self.left:
+                call()
--- /dev/null
+++ b/ochrecourse/gateway/sampling.py
@@ -0,0 +1,40 @@
+"""Which jobs get a line in the log. Free of I/O and clocks.
+
+Lines are written at a stated rate at most, from a store that holds a second's worth. Jobs that went as they
+should may use only the upper half of the store, so that under load those that did not still find room; what
+is left out is counted, and the next line says how many.
+"""
+
+from __future__ import annotations
+
+SECOND = 1_000_000_000  # ns
+
+
+class Sampling:
+    """One log's store of lines. `rate`: lines a second."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.depth = max(1.0, rate)
+        self.store = self.depth
+        self.at = 0
+        self.dropped = 0
+        self.dropped_ever = 0
+
+    def writes(self, well: bool, now: int) -> bool:
+        """Whether this job gets a line; `well`: fulfilled by its first leg."""
+        if self.at:
+            self.store = min(self.depth, self.store + self.rate * (now - self.at) / SECOND)
+        self.at = now
+        floor = self.depth / 2 if well else 0.0
+        if self.store - 1 < floor:
+            self.dropped += 1
+            self.dropped_ever += 1
+            return False
+        self.store -= 1
+        return True
+
+    def take_dropped(self) -> int:
+        """Lines left out since this was last asked."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
--- /dev/null
+++ b/ochrecourse/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The emulated network, load, scripted days and their reports."""
--- /dev/null
+++ b/ochrecourse/lab/figures.py
@@ -0,0 +1,41 @@
+"""The rules' figures of a day, as the auditor wants them."""
+
+from __future__ import annotations
+
+from ochrecourse.audit.judge import Figures, ProductRule
+from ochrecourse.lab.day import Day, limit_of, volumes
+
+EFFECTS = {"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}
+MS = 1_000_000
+
+
+def figures_of(day: Day) -> Figures:
+    """What docs/days.md states for a day, with how much two ends of a socket may disagree on a time."""
+    rules = day.rules
+    limits = {
+        str(volume.number): limit_of(day, day.plans[volume.plan])
+        for volume in volumes(day)
+        if day.plans[volume.plan].limit
+    }
+    return Figures(
+        products={
+            each.name: ProductRule(
+                effect=EFFECTS[each.effect],
+                group=each.group,
+                window=round(each.window_ms * MS),
+                in_order=each.in_order,
+            )
+            for each in day.products
+        },
+        drain_grace=round(rules.drain_grace_ms * MS),
+        cold_multiple=rules.multiple,
+        cold_fall=round(rules.fall_ms * MS),
+        settle=round(rules.settle_ms * MS),
+        budget_floor=rules.budget_floor,
+        budget_share=rules.budget_share,
+        budget_window=round(rules.budget_ms * MS),
+        limits=limits,
+        second_copies=day.second_copies,
+        max_legs=day.max_legs,
+        travel=round(max(day.travel_ms, 10 * day.net_ms[1]) * MS),
+    )
--- /dev/null
+++ b/ochrecourse/lab/real.py
@@ -0,0 +1,200 @@
+"""Plays a day on loopback sockets: gateways and nodes in processes of their own, killed and started again."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import ProcessProtocol
+
+from ochrecourse.audit import records as r
+from ochrecourse.lab.day import Day, gateway_record
+from ochrecourse.lab.load import Load, schedule
+from ochrecourse.lab.play import TAIL, WARM_UP, rolls
+from ochrecourse.outside import now_ns
+from ochrecourse.settings.load import write
+
+START_TIME = 20.0  # s in which a process must say that it serves; a slow machine takes a few
+END_TIME = 10.0  # s that a process has to end after it was asked to
+
+
+class Child(ProcessProtocol):
+    """One process: its first line of output, and its end."""
+
+    def __init__(
+        self, log: Path, first_line: Callable[[str], None], ended: Callable[[Child, int | None], None]
+    ) -> None:
+        self.log = open(log, "ab")  # noqa: SIM115
+        self.first_line = first_line
+        self.ended = ended
+        self.said = b""
+        self.heard = False
+
+    def outReceived(self, data: bytes) -> None:
+        self.said += data
+        if not self.heard and b"\n" in self.said:
+            self.heard = True
+            self.first_line(self.said.split(b"\n")[0].decode("utf-8", "replace"))
+
+    def errReceived(self, data: bytes) -> None:
+        self.log.write(data)
+
+    def processEnded(self, reason: Any) -> None:
+        self.log.close()
+        self.ended(self, reason.value.exitCode)
+
+
+class Place:
+    """One gateway's process over its lives."""
+
+    def __init__(self, play: RealPlay, index: int) -> None:
+        self.play = play
+        self.index = index
+        self.name = f"g{index}"
+        self.at: tuple[str, int] | None = None
+        self.port = 0
+        self.child: Child | None = None
+        self.process: Any = None
+        self.killed = False
+        self.exit: int | None = None
+
+    def start(self) -> None:
+        play = self.play
+        record = gateway_record(
+            play.day, self.index, f"127.0.0.1:{self.port}", play.list_address, str(play.folder)
+        )  # fmt: skip
+        settings = play.folder / f"{self.name}.cue"
+        settings.write_text(write(record) + 'log: {\n\tlevel: "info"\n\tform: "json"\n}\n')
+        self.killed = False
+        self.child = Child(play.folder / f"{self.name}.log", self._listens, self._ended)
+        self.process = play.spawn(self.child, ["serve", str(settings)])
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.killed = True
+            self.at = None
+            self.play.record(r.Killed(t=now_ns(self.play.reactor), gateway=self.name))
+            self.process.signalProcess("KILL")
+
+    def _listens(self, line: str) -> None:
+        host, _, port = line.removeprefix("listening ").rpartition(":")
+        self.port = int(port)
+        self.at = (host, self.port)
+        self.play.record(r.Started(t=now_ns(self.play.reactor), gateway=self.name))
+        self.play.came_up()
+
+    def _ended(self, child: Child, code: int | None) -> None:
+        if child is self.child:
+            self.process, self.at = None, None
+            self.exit = code
+            if not self.killed and not self.play.ending:
+                self.play.fail(f"gateway {self.name} ended by itself with code {code}; see {self.name}.log")
+            self.play.process_over()
+
+
+class RealPlay:
+    """One run; `folder` keeps settings, logs and records. `over` is called when all processes have ended."""
+
+    def __init__(self, day: Day, reactor: Any, folder: Path, over: Callable[[], None]) -> None:
+        self.day = day
+        self.reactor = reactor
+        self.folder = folder
+        self.over = over
+        self.record = r.ToFile(folder / "clients.jsonl")
+        self.places = [Place(self, index) for index in range(day.gateways)]
+        addresses = {place.index: lambda place=place: place.at for place in self.places}
+        self.load = Load(reactor, day, addresses, self.record)
+        self.calls = schedule(day)
+        self.list_address = ""
+        self.nodes: Any = None
+        self.nodes_child: Child | None = None
+        self.begun = False
+        self.ending = False
+        self.troubles: list[str] = []
+        self.exits: list[int | None] = []
+
+    def start(self) -> None:
+        (self.folder / "day.json").write_bytes(msgspec.json.format(msgspec.json.encode(self.day)))
+        self.nodes_child = Child(self.folder / "nodes.log", self._list_is, self._nodes_ended)
+        self.nodes = self.spawn(
+            self.nodes_child,
+            ["nodes", str(self.folder / "day.json"), "--wait", "--records", str(self.folder / "nodes.jsonl")],
+        )
+        self.reactor.callLater(START_TIME, self._look_at_start)
+
+    def spawn(self, child: Child, words: list[str]) -> Any:
+        return self.reactor.spawnProcess(
+            child, sys.executable, [sys.executable, "-m", "ochrecourse", *words], env=None
+        )  # fmt: skip
+
+    def fail(self, text: str) -> None:
+        self.troubles.append(text)
+        self._end()
+
+    def _look_at_start(self) -> None:
+        if not self.begun and not self.ending:
+            self.fail(f"not all processes served within {START_TIME:g} s")
+
+    def _list_is(self, line: str) -> None:
+        self.list_address = line.removeprefix("list ").strip()
+        for place in self.places:
+            place.start()
+
+    def came_up(self) -> None:
+        if not self.begun and all(place.at is not None for place in self.places):
+            self.begun = True
+            self.load.connect()
+            self.reactor.callLater(WARM_UP, self._begin)
+
+    def _begin(self) -> None:
+        self.nodes.write(b"go\n")
+        for at, index, down in rolls(self.day):
+            self.reactor.callLater(at, self.places[index].kill)
+            self.reactor.callLater(at + down, self.places[index].start)
+        self.load.finished = lambda: self.reactor.callLater(1.0, self._end)
+        self.reactor.callLater(self.day.length_s + TAIL, self._end)
+        self.load.start(self.calls)
+
+    def _end(self) -> None:
+        """Asks every gateway to drain, which must end it with code 0."""
+        if self.ending:
+            return
+        self.ending = True
+        self.load.stop()
+        for place in self.places:
+            if place.process is not None:
+                place.process.signalProcess("TERM")
+        self.reactor.callLater(END_TIME, self._kill_all)
+        self.process_over()
+
+    def _kill_all(self) -> None:
+        for process in [self.nodes, *(place.process for place in self.places)]:
+            if process is not None:
+                self.troubles.append("a process did not end when it was asked to")
+                process.signalProcess("KILL")
+
+    def process_over(self) -> None:
+        if self.ending and all(place.process is None for place in self.places) and self.nodes is not None:
+            self.nodes.signalProcess("TERM")
+
+    def _nodes_ended(self, child: Child, code: int | None) -> None:
+        self.nodes = None
+        if not self.ending:
+            self.troubles.append(f"the nodes ended by themselves with code {code}; see nodes.log")
+            self.ending = True
+            for place in self.places:
+                if place.process is not None:
+                    place.process.signalProcess("KILL")
+        self.troubles += [
+            f"gateway {place.name} drained with exit code {place.exit}"
+            for place in self.places
+            if not place.killed and place.exit not in (0, None)
+        ]
+        self.record.close()
+        self.over()
+
+    def records(self) -> list[Path]:
+        return [self.folder / "clients.jsonl", self.folder / "nodes.jsonl"]
--- /dev/null
+++ b/ochrecourse/membership/follower.py
@@ -0,0 +1,136 @@
+"""Follows a list server: connects, asks for what is new, hands lists on, keeps the last one, comes back after
+breaks.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, ClassVar
+
+from twisted.internet.protocol import ClientFactory
+
+from ochrecourse.durable.sealed import Damaged
+from ochrecourse.membership import kept
+from ochrecourse.membership.view import BadList, News, View
+from ochrecourse.outside import Network, Timer, now_ns, stop
+from ochrecourse.wire import messages as m
+from ochrecourse.wire.framed import Framed
+from ochrecourse.wire.moves import IllegalMove, ListMoves, Open, Side
+
+FIRST_WAIT = 0.1  # s before the first try to come back; a restarted server is there again soon
+LONGEST_WAIT = 2.0  # s; an operator's drain grace is of this size, so a break costs no more than one of it
+
+
+class _Line(Framed):
+    """One connection to the list server."""
+
+    max_body: ClassVar[int] = m.MAX_LIST_BODY
+
+    def __init__(self, follower: Follower) -> None:
+        super().__init__(follower.network, Side.ASKING, ListMoves())
+        self.follower = follower
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="gateway", name=self.follower.name))
+        self.say(m.Follow(epoch=self.follower.view.epoch))
+
+    def took(self, message: m.Any, body: bytes, after: Open | None) -> None:
+        if isinstance(message, m.NodeList):
+            try:
+                self.follower.list_came(message.kind, message.epoch, m.decode_list(body))
+            except (BadList, m.BadMessage) as trouble:
+                raise IllegalMove("bad_list", str(trouble)) from None
+            if not self.follower.view.epoch:
+                self.say(m.Follow(epoch=0))
+
+    def closed(self, half: bool) -> None:
+        self.follower.lost(self)
+
+
+class Follower(ClientFactory):
+    """The gateway's side of the list. `told` gets each piece of news; `path` is where the last list is kept.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        name: str,
+        network: Network,
+        address: tuple[str, int],
+        told: Callable[[News], None],
+        path: Path | None,
+        seed: int,
+        warn: Callable[[str], None] = lambda text: None,
+    ) -> None:
+        self.name = name
+        self.network = network
+        self.address = address
+        self.told = told
+        self.path = path
+        self.warn = warn
+        self.chance = random.Random(seed)
+        self.view = View()
+        self.line: _Line | None = None
+        self.wait = FIRST_WAIT
+        self.counts: Counter[str] = Counter()
+        self.stopped = False
+        self._timer: Timer | None = None
+
+    def start(self) -> None:
+        """Hands on the kept list, if a good one is there, then connects."""
+        if self.path is not None:
+            try:
+                copy = kept.load(self.path)
+                if copy is not None:
+                    self.told(self.view.read_back(copy, now_ns(self.network)))
+            except (Damaged, OSError, BadList) as trouble:
+                self.counts["kept lists not read"] += 1
+                self.warn(f"the kept list of nodes is ignored: {trouble}")
+        self._connect()
+
+    def stop(self) -> None:
+        self.stopped = True
+        stop(self._timer)
+        if self.line is not None:
+            self.line.cut()
+
+    def list_came(self, kind: str, epoch: int, lines: list[m.Listed]) -> None:
+        now = now_ns(self.network)
+        news = self.view.list_came(kind, epoch, lines, now)
+        if news is None:
+            return
+        self.wait = FIRST_WAIT
+        self.counts["lists"] += 1
+        self.told(news)
+        if self.path is not None:
+            try:
+                kept.save(self.path, self.view.copy(now))
+            except OSError as trouble:
+                self.counts["lists not kept"] += 1
+                self.warn(f"the list of nodes could not be kept: {trouble}")
+
+    def buildProtocol(self, addr: Any) -> _Line:
+        self.line = _Line(self)
+        return self.line
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self._again()
+
+    def lost(self, line: _Line) -> None:
+        if self.line is line:
+            self.line = None
+            self.counts["breaks"] += 1
+            self._again()
+
+    def _connect(self) -> None:
+        self._timer = None
+        self.network.connectTCP(self.address[0], self.address[1], self, timeout=LONGEST_WAIT)
+
+    def _again(self) -> None:
+        if not self.stopped and self._timer is None:
+            self._timer = self.network.callLater(self.wait * self.chance.uniform(0.5, 1.0), self._connect)
+            self.wait = min(LONGEST_WAIT, self.wait * 2)
--- /dev/null
+++ b/ochrecourse/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of the storage nodes' protocol."""
--- /dev/null
+++ b/ochrecourse/nodes/client.py
@@ -0,0 +1,416 @@
+"""Carries legs to storage nodes and tells how each ended: sockets, dials, bodies, time-outs, cancels.
+
+What an event proves is said in proof.py, which connection a leg takes in pool.py; this module only moves
+bytes. A leg ends for the gateway exactly once. What comes for it later is dropped and counted.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import ClientFactory
+from zope.interface import implementer
+
+from ochrecourse.nodes.pool import Line, Pool, PoolLimits, State
+from ochrecourse.nodes.proof import Close, Seen, Written, seen_at_close, seen_at_timeout
+from ochrecourse.outside import SECOND, Clock, Network, Timer, now_ns, stop
+from ochrecourse.wire import messages as m
+from ochrecourse.wire.framed import Framed
+from ochrecourse.wire.moves import Open, Side, leg_moves
+
+LINGER = (
+    2.0  # s that a node has to confirm a cancel; after that its connection is closed, whatever else is on it
+)
+
+
+class Body(Protocol):
+    """What a leg sends: read piece by piece, again from the start by each further leg."""
+
+    size: int
+
+    def read(self, at: int, most: int) -> bytes: ...
+
+
+class Taker(Protocol):
+    """Who waits for a leg. `began` comes before any `piece`; `ended` comes exactly once and last."""
+
+    def began(self, leg: LegOut, answer: m.Done) -> None: ...
+
+    def piece(self, leg: LegOut, data: bytes) -> None: ...
+
+    def ended(self, leg: LegOut, seen: Seen, answer: m.Any | None) -> None: ...
+
+
+class LegOut:
+    """One leg on its way. `taken` bytes of its answer were handed on, `credited` were granted to the node."""
+
+    def __init__(
+        self, number: int, job: int, node: int, message: m.LegSent, body: Body | None, taker: Taker
+    ) -> None:
+        self.number = number
+        self.job = job  # the taker's name for what it belongs to
+        self.node = node
+        self.message = message
+        self.body = body
+        self.taker = taker
+        self.sent_at = 0  # ns
+        self.line: Line | None = None
+        self.link: Link | None = None
+        self.id = -1  # on its connection
+        self.written = 0  # bytes of the body
+        self.answer: m.Done | None = None
+        self.taken = 0
+        self.granted = 0
+        self.over = False
+        self.patience = 0.0  # s
+        self.heard_at = 0.0  # s, last byte of an answer that has begun
+        self.timer: Timer | None = None
+
+    def handed(self) -> Written:
+        """How much of it was handed to the network."""
+        if self.id < 0:
+            return Written.NOTHING
+        return Written.WHOLE if self.written >= self.message.size else Written.PART
+
+
+@implementer(IPushProducer)
+class Link(Framed):
+    """One connection to a node: sends legs, streams their bodies while the transport takes more, reads
+    answers.
+    """
+
+    def __init__(self, client: NodeClient, line: Line) -> None:
+        super().__init__(client.clock, Side.ASKING, leg_moves())
+        self.client = client
+        self.line = line
+        self.legs: dict[int, LegOut] = {}
+        self.given_up: dict[int, Timer] = {}  # cancelled, not yet confirmed
+        self.count = 0
+        self.sending: list[LegOut] = []  # with bytes still to go, served in turn
+        self.blocked = False
+        self.met = False
+
+    def ready(self) -> None:
+        self.transport.registerProducer(self, True)
+        self.say(m.Hello(version=m.VERSION, role="gateway", name=self.client.name))
+
+    def send(self, leg: LegOut) -> None:
+        self.count += 1
+        leg.id, leg.link = self.count, self
+        self.legs[leg.id] = leg
+        first = leg.body.read(0, m.MAX_BODY) if leg.body and leg.message.size else b""
+        leg.message.id = leg.id
+        leg.written = len(first)
+        self.say(leg.message, first)
+        if leg.written < leg.message.size:
+            self.sending.append(leg)
+            self.pump()
+
+    def pump(self) -> None:
+        """Sends one piece of each body in turn until the transport asks to wait or all is sent."""
+        while self.sending and not self.blocked and self.up:
+            leg = self.sending.pop(0)
+            if leg.over or leg.body is None:
+                continue
+            piece = leg.body.read(leg.written, m.MAX_BODY)
+            leg.written += len(piece)
+            self.say(m.Part(id=leg.id), piece)
+            if leg.written < leg.message.size:
+                self.sending.append(leg)
+
+    def pauseProducing(self) -> None:
+        self.blocked = True
+
+    def resumeProducing(self) -> None:
+        self.blocked = False
+        self.pump()
+
+    def stopProducing(self) -> None:
+        self.blocked = True
+
+    def drop(self, leg: LegOut) -> None:
+        """The gateway no longer waits for this leg: the node is told, and has a while to confirm it."""
+        self.legs.pop(leg.id, None)
+        if leg in self.sending:
+            self.sending.remove(leg)
+        self.say(m.Cancel(id=leg.id))
+        self.given_up[leg.id] = self.clock.callLater(LINGER, self.cut)
+
+    def took(self, message: m.Any, body: bytes, after: Open | None) -> None:
+        if isinstance(message, m.Hello):
+            self.met = True
+            self.client.link_open(self)
+            return
+        if isinstance(message, m.Bye):
+            self.client.link_leaving(self)
+            return
+        if isinstance(message, m.Fault):
+            self.client.counts["faults told by nodes"] += 1
+            self.cut()
+            return
+        number: int = message.id  # type: ignore[union-attr]  # the table lets no other pass
+        over = after in (Open.CLOSED, Open.REFUSED)
+        if number in self.given_up:
+            if not isinstance(message, m.Cancelled):
+                self.client.counts["late answers dropped"] += 1
+            if over:
+                stop(self.given_up.pop(number))
+                self.client.link_freed(self, number)
+            return
+        leg = self.legs[number]
+        if over:
+            del self.legs[number]
+        if after is Open.REFUSED:
+            if leg in self.sending:
+                self.sending.remove(leg)
+            self.say(m.Cancel(id=number))  # the rest of its body need not be sent
+        self.client.answered(self, leg, message, body, over)
+
+    def closed(self, half: bool) -> None:
+        for timer in self.given_up.values():
+            stop(timer)
+        self.given_up.clear()
+        how = Close.GARBLED if self.ended_by else Close.HALF_HEADER if half else Close.BETWEEN
+        legs, self.legs = self.legs, {}
+        self.client.link_closed(self, list(legs.values()), how)
+
+
+class _Dial(ClientFactory):
+    """One dial, bounded in time; its end is told once."""
+
+    noisy = False
+
+    def __init__(self, client: NodeClient, line: Line) -> None:
+        self.client = client
+        self.line = line
+
+    def buildProtocol(self, addr: Any) -> Link:
+        link = Link(self.client, self.line)
+        self.client.links[self.line.number] = link
+        return link
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.client.dial_failed(self.line, Seen.REFUSED)
+
+
+class NodeClient:
+    """All connections of one gateway to its nodes.
+
+    `limits` and `dial_time` (s) come from the settings; `address_of` gives the host and port of a node, or
+    None.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Network,
+        limits: PoolLimits,
+        dial_time: float,
+        address_of: Callable[[int], tuple[str, int] | None],
+    ) -> None:
+        self.name = name
+        self.clock: Clock = clock
+        self.network = clock
+        self.pool = Pool(limits)
+        self.dial_time = dial_time
+        self.address_of = address_of
+        self.links: dict[int, Link] = {}  # by the number of their line
+        self.dials: dict[int, Timer] = {}
+        self.out: dict[int, LegOut] = {}
+        self.count = 0
+        self.counts: Counter[str] = Counter()
+        self._idle: Timer | None = None
+
+    def send(
+        self, job: int, node: int, message: m.LegSent, body: Body | None, time_out: int, taker: Taker
+    ) -> LegOut:
+        """Sends a leg; `time_out` in ns from now. Its end is told to `taker`, never before this returns."""
+        self.count += 1
+        leg = LegOut(self.count, job, node, message, body, taker)
+        leg.sent_at = now_ns(self.clock)
+        self.out[leg.number] = leg
+        leg.patience = max(0, time_out) / SECOND
+        leg.timer = self.clock.callLater(leg.patience, self._timed_out, leg)
+        if self.address_of(node) is None:
+            self.clock.callLater(0, self._end, leg, Seen.UNLISTED, None)
+            return leg
+        place = self.pool.place(node, leg.number)
+        if place.line is None:
+            self.clock.callLater(0, self._end, leg, Seen.NO_ROOM, None)
+            return leg
+        leg.line = place.line
+        if place.now:
+            self.links[place.line.number].send(leg)
+        else:
+            self._dial()
+        return leg
+
+    def cancel(self, leg: LegOut) -> None:
+        """Stops waiting for a leg; its end is told at once, as no more than was known."""
+        if not leg.over:
+            known = Seen.CANCEL_UNANSWERED if leg.handed() is Written.WHOLE else Seen.CLOSED_DURING
+            self._abandon(leg, known)
+
+    def grant(self, leg: LegOut, size: int) -> None:
+        """The taker has room for so many more bytes of a long answer."""
+        leg.taken += size
+        due = leg.taken - leg.granted
+        if due >= m.MAX_BODY and not leg.over and leg.link is not None and leg.id in leg.link.legs:
+            leg.granted += due
+            leg.link.say(m.Credit(id=leg.id, bytes=due))
+
+    def close(self) -> None:
+        """Closes every connection; legs that are out end as reset or never sent."""
+        for timer in self.dials.values():
+            stop(timer)
+        self.dials.clear()
+        stop(self._idle)
+        self._idle = None
+        for link in list(self.links.values()):
+            link.cut()
+
+    def open_connections(self) -> int:
+        return len(self.links)
+
+    # --- what the connections tell ---
+
+    def link_open(self, link: Link) -> None:
+        timer = self.dials.pop(link.line.number, None)
+        if timer is None:
+            return
+        stop(timer)
+        for number in self.pool.opened(link.line, now_ns(self.clock)):
+            link.send(self.out[number])
+        self._dial()
+        self._watch_idle()
+
+    def link_leaving(self, link: Link) -> None:
+        if link.line.state is State.OPEN and self.pool.leaving(link.line):
+            self._say_bye(link)
+
+    def link_freed(self, link: Link, number: int) -> None:
+        self._free(link.line, -1)
+
+    def link_closed(self, link: Link, legs: list[LegOut], how: Close) -> None:
+        self.links.pop(link.line.number, None)
+        if how is Close.GARBLED:
+            self.counts["nodes that broke the protocol"] += 1
+        if not link.met:
+            self.dial_failed(link.line, Seen.REFUSED)
+            return
+        self.pool.gone(link.line)
+        for leg in legs:
+            self._end(leg, seen_at_close(leg.handed(), leg.answer is not None, how), None)
+        self._dial()
+
+    def dial_failed(self, line: Line, seen: Seen) -> None:
+        timer = self.dials.pop(line.number, None)
+        if timer is None:
+            return  # told already
+        stop(timer)
+        self.counts["dials failed"] += 1
+        waiting = self.pool.gone(line)
+        link = self.links.pop(line.number, None)
+        if link is not None:
+            link.cut()
+        for number in waiting:
+            self._end(self.out[number], seen, None)
+        self._dial()
+
+    def answered(self, link: Link, leg: LegOut, message: m.Any, body: bytes, over: bool) -> None:
+        """A message for a leg that is still waited for; `over`: it was the last one."""
+        if isinstance(message, m.Done):
+            leg.answer = message
+            if not over:
+                leg.granted = m.WINDOW
+            leg.taker.began(leg, message)
+        leg.heard_at = self.clock.seconds()
+        if body and not leg.over:
+            leg.taker.piece(leg, body)
+        if not over or leg.over:
+            return
+        if isinstance(message, m.Done | m.Part):
+            seen = Seen.DONE
+        elif isinstance(message, m.Full):
+            seen = Seen.NOT_HELD if message.why == "not held" else Seen.FULL
+        elif isinstance(message, m.Failed):
+            seen = Seen.BROKE_OFF if leg.answer is not None else Seen.FAILED
+        else:
+            seen = Seen.CANCELLED_UNRUN if getattr(message, "ran", "") == "no" else Seen.CANCELLED
+        self._end(leg, seen, message if isinstance(message, m.NodeAnswer) else leg.answer)
+
+    # --- inside ---
+
+    def _dial(self) -> None:
+        while (line := self.pool.next_dial()) is not None:
+            address = self.address_of(line.node)
+            self.dials[line.number] = self.clock.callLater(
+                self.dial_time, self.dial_failed, line, Seen.DIAL_TIMEOUT
+            )
+            self.counts["dials"] += 1
+            if address is None:
+                self.dial_failed(line, Seen.UNLISTED)
+            else:
+                self.network.connectTCP(address[0], address[1], _Dial(self, line), timeout=self.dial_time + 1)
+
+    def _timed_out(self, leg: LegOut) -> None:
+        """An answer that has begun is given up only when nothing more of it came for as long again."""
+        leg.timer = None
+        rest = leg.heard_at + leg.patience - self.clock.seconds()
+        if leg.answer is not None and rest > 0:
+            leg.timer = self.clock.callLater(rest, self._timed_out, leg)
+        elif not leg.over:
+            self._abandon(leg, seen_at_timeout(leg.handed(), leg.answer is not None))
+
+    def _abandon(self, leg: LegOut, seen: Seen) -> None:
+        link, line = leg.link, leg.line
+        if link is not None and leg.id in link.legs:
+            leg.over = True  # before the cancel goes out, so that nothing of it is sent on
+            link.drop(leg)
+            leg.line = None  # its place on the connection is free when the node confirms
+            leg.over = False
+        elif line is not None and leg.link is None:
+            pass  # it waited for a dial: _end frees its place
+        self._end(leg, seen, None)
+
+    def _end(self, leg: LegOut, seen: Seen, answer: m.Any | None) -> None:
+        if leg.over:
+            return
+        leg.over = True
+        self.out.pop(leg.number, None)
+        stop(leg.timer)
+        leg.timer = None
+        if leg.line is not None:
+            self._free(leg.line, leg.number)
+        leg.taker.ended(leg, seen, answer)
+
+    def _free(self, line: Line, number: int) -> None:
+        if self.pool.leg_over(line, number, now_ns(self.clock)):
+            link = self.links.get(line.number)
+            if link is not None:
+                self._say_bye(link)
+        self._watch_idle()
+
+    def _say_bye(self, link: Link) -> None:
+        if link.up:
+            link.say(m.Bye(reason="idle"))
+            link.transport.loseConnection()
+            self.clock.callLater(LINGER, link.cut)
+
+    def _watch_idle(self) -> None:
+        due = self.pool.next_due()
+        if due is not None and self._idle is None:
+            self._idle = self.clock.callLater(
+                max(0, due - now_ns(self.clock)) / SECOND + 0.001, self._close_idle
+            )
+
+    def _close_idle(self) -> None:
+        self._idle = None
+        while (line := self.pool.next_idle(now_ns(self.clock))) is not None:
+            link = self.links.get(line.number)
+            if link is not None:
+                self._say_bye(link)
+        self._watch_idle()
--- /dev/null
+++ b/ochrecourse/nodes/pool.py
@@ -0,0 +1,167 @@
+"""Which connection a leg takes, when one is opened, and when one is closed. Free of I/O and clocks.
+
+Each node has a pool of connections, each carries several legs. A leg takes the open connection with the
+fewest legs; when all are full and the node's cap allows it, one more is dialled, and the leg waits for that
+dial. Dials of one gateway are bounded in number: after a mass restart the rest wait in order of arrival, so
+that the nodes meet no storm of handshakes. All figures come from the settings; the host asks, tells what
+happened, and pulls what to do.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+
+class PoolLimits(NamedTuple):
+    """What the settings say of connections."""
+
+    legs: int  # on one connection at once
+    connections: int  # to one node at once
+    dials: int  # of one gateway at once
+    idle: int  # ns without a leg after which a connection is closed
+
+
+class State(Enum):
+    """Where a connection stands."""
+
+    QUEUED = "queued"  # waits for its turn to be dialled
+    DIALLING = "dialling"
+    OPEN = "open"
+    LEAVING = "leaving"  # finishes its legs, takes no new ones
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """One connection. `waiting` holds the legs that wait for its dial, in order."""
+
+    number: int
+    node: int
+    state: State = State.QUEUED
+    legs: int = 0
+    idle_since: int = 0
+    waiting: deque[int] = field(default_factory=deque)
+
+
+class Place(NamedTuple):
+    """The answer to `place`: the connection a leg takes (None: there is no room), and whether it may go now.
+    """
+
+    line: Line | None
+    now: bool
+
+
+class Pool:
+    """The connections of one gateway to all its nodes."""
+
+    def __init__(self, limits: PoolLimits) -> None:
+        self.limits = limits
+        self.lines: dict[int, dict[int, Line]] = {}  # by node, by number
+        self.queue: OrderedDict[int, Line] = OrderedDict()  # to be dialled, in order of arrival
+        self.idle: OrderedDict[int, Line] = OrderedDict()  # open without a leg, longest first
+        self.dialling = 0
+        self.count = 0
+
+    # --- what the host asks and tells ---
+
+    def place(self, node: int, leg: int) -> Place:
+        """Where a leg for this node goes. It counts on that connection until `leg_over`."""
+        lines = self.lines.setdefault(node, {})
+        best: Line | None = None
+        for line in lines.values():
+            if line.state is State.LEAVING or line.legs >= self.limits.legs:
+                continue
+            if best is None or (line.state is not State.OPEN, line.legs) < (
+                best.state is not State.OPEN,
+                best.legs,
+            ):
+                best = line
+        if best is None:
+            if len(lines) >= self.limits.connections:
+                return Place(None, False)
+            self.count += 1
+            best = lines[self.count] = Line(self.count, node)
+            self.queue[best.number] = best
+        best.legs += 1
+        self.idle.pop(best.number, None)
+        if best.state is State.OPEN:
+            return Place(best, True)
+        best.waiting.append(leg)
+        return Place(best, False)
+
+    def next_dial(self) -> Line | None:
+        """The next connection to open, or None while enough dials are under way. Pull until None."""
+        if not self.queue or self.dialling >= self.limits.dials:
+            return None
+        _, line = self.queue.popitem(last=False)
+        line.state = State.DIALLING
+        self.dialling += 1
+        return line
+
+    def opened(self, line: Line, now: int) -> list[int]:
+        """A dial came through. Returns the legs that waited for it, in order."""
+        self.dialling -= 1
+        line.state = State.OPEN
+        legs, line.waiting = list(line.waiting), deque()
+        if not line.legs:
+            self._rest(line, now)
+        return legs
+
+    def gone(self, line: Line) -> list[int]:
+        """A connection ended or its dial failed. Returns the legs that still waited for the dial."""
+        if line.state is State.DIALLING:
+            self.dialling -= 1
+        self.queue.pop(line.number, None)
+        self.idle.pop(line.number, None)
+        lines = self.lines.get(line.node, {})
+        lines.pop(line.number, None)
+        if not lines:
+            self.lines.pop(line.node, None)
+        legs, line.waiting = list(line.waiting), deque()
+        line.state = State.LEAVING
+        return legs
+
+    def leaving(self, line: Line) -> bool:
+        """The node said bye, or the gateway closes: no new legs. True if the connection can be closed at
+        once.
+        """
+        line.state = State.LEAVING
+        self.idle.pop(line.number, None)
+        return line.legs == 0
+
+    def leg_over(self, line: Line, leg: int, now: int) -> bool:
+        """A leg no longer needs its connection. True if the connection was leaving and can be closed now.
+
+        A queued connection that nobody waits for any more is forgotten: its dial would help no leg.
+        """
+        line.legs -= 1
+        if leg in line.waiting:
+            line.waiting.remove(leg)
+        if line.legs:
+            return False
+        if line.state is State.OPEN:
+            self._rest(line, now)
+        elif line.state is State.QUEUED:
+            self.gone(line)
+        return line.state is State.LEAVING
+
+    def next_idle(self, now: int) -> Line | None:
+        """The next connection that was idle for too long; it is leaving from now on. Pull until None."""
+        for line in self.idle.values():
+            if line.idle_since + self.limits.idle > now:
+                return None
+            self.leaving(line)
+            return line
+        return None
+
+    def next_due(self) -> int | None:
+        """When the next connection will have been idle for too long."""
+        for line in self.idle.values():
+            return line.idle_since + self.limits.idle
+        return None
+
+    def _rest(self, line: Line, now: int) -> None:
+        line.idle_since = now
+        self.idle[line.number] = line
--- /dev/null
+++ b/ochrecourse/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings as typed records: grammar, checker, resolved values."""
--- /dev/null
+++ b/ochrecourse/settings/load.py
@@ -0,0 +1,151 @@
+"""Settings from a file to a resolved record, with every default filled in, and back to text."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from functools import lru_cache
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+from ochrecourse.settings.syntax import BadSettings, Place, Struct, parse
+from ochrecourse.settings.unify import Resolver
+
+SCHEMA = "schema.cue"
+
+# Spans and rates of the record by the last step of their path, for writing them with their unit.
+DURATIONS = frozenset(
+    (
+        "promised", "client_timeout", "repeat_window", "travel", "drain_grace", "cold_time", "cold_fall",
+        "order_rest", "window", "longest_advice", "dial_timeout", "idle", "period",
+    )
+)  # fmt: skip
+RATES = frozenset(["rate", "reserve", "limit", "sample"])
+
+
+class Refused(Exception):
+    """All that is wrong with a settings file, in order of place; its text is one line each."""
+
+    def __init__(self, troubles: list[BadSettings]) -> None:
+        super().__init__("\n".join(str(each) for each in troubles))
+        self.troubles = troubles
+
+
+@lru_cache(maxsize=1)
+def schema() -> Struct:
+    return parse((files("ochrecourse.settings") / SCHEMA).read_text(), SCHEMA)
+
+
+def resolve(text: str, file: str) -> dict[str, Any]:
+    """The record that a text gives. Spans are in ms, sizes in bytes, rates a second. Raises Refused."""
+    try:
+        tree = parse(text, file)
+    except BadSettings as trouble:
+        raise Refused([trouble]) from None
+    resolver = Resolver(schema())
+    record = resolver.resolve(tree)
+    if not resolver.troubles:
+        resolver.troubles += _across(record, resolver.places, tree.place)
+    if resolver.troubles:
+        raise Refused(resolver.troubles)
+    return record
+
+
+def load(path: Path) -> dict[str, Any]:
+    """The record of a file. Raises Refused."""
+    try:
+        return resolve(path.read_text(), str(path))
+    except OSError as trouble:
+        raise Refused([BadSettings(Place(str(path), 1, 1), trouble.strerror or str(trouble))]) from None
+    except UnicodeDecodeError:
+        raise Refused([BadSettings(Place(str(path), 1, 1), "not a text in UTF-8")]) from None
+
+
+def _across(record: Mapping[str, Any], places: Mapping[str, Place], start: Place) -> list[BadSettings]:
+    """What must hold between fields."""
+    told = []
+    for kind in ("products", "plans"):
+        names = [each["name"] for each in record[kind]]
+        if not names:
+            told.append(
+                BadSettings(places.get(kind, start), f"{kind} is empty; a gateway needs at least one")
+            )
+        for i, name in enumerate(names):
+            if name in names[:i]:
+                where = places.get(f"{kind}[{i}].name", start)
+                told.append(
+                    BadSettings(
+                        where, f"{kind}[{i}].name is {name!r}, as is {kind}[{names.index(name)}].name"
+                    )
+                )
+    for i, product in enumerate(record["products"]):
+        if product["promised"] > product["client_timeout"]:
+            where = places.get(f"products[{i}].promised", start)
+            told.append(BadSettings(where, f"products[{i}].promised is longer than its client_timeout"))
+        if record["gateway"]["travel"] >= product["client_timeout"]:
+            where = places.get("gateway.travel", start)
+            told.append(
+                BadSettings(where, f"gateway.travel leaves no time within products[{i}].client_timeout")
+            )
+    for i, plan in enumerate(record["plans"]):
+        if plan["limit"] and plan["limit_burst"] < record["units"]["most"] * record["gateway"]["gateways"]:
+            where = places.get(f"plans[{i}].limit_burst", start)
+            least = record["units"]["most"] * record["gateway"]["gateways"]
+            told.append(
+                BadSettings(
+                    where, f"plans[{i}].limit_burst must hold a largest job of every gateway: {least:g} units"
+                )
+            )
+    if record["gateway"]["number"] >= record["gateway"]["gateways"]:
+        told.append(
+            BadSettings(places.get("gateway.number", start), "gateway.number counts from 0 to gateways - 1")
+        )
+    for name, text in (
+        ("gateway.listen", record["gateway"]["listen"]),
+        ("list.address", record["list"]["address"]),
+    ):
+        if address(text) is None:
+            told.append(BadSettings(places.get(name, start), f"{name} is {text!r}; an address is HOST:PORT"))
+    return told
+
+
+def address(text: str) -> tuple[str, int] | None:
+    """Host and port of HOST:PORT, None if it is not of that form."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        return None
+    return host.strip("[]"), int(port)
+
+
+def write(record: Mapping[str, Any], depth: int = 0) -> str:
+    """A resolved record as text that resolves to the same."""
+    pad = "\t" * depth
+    return "".join(f"{pad}{name}: {_text(name, value, depth)}\n" for name, value in record.items())
+
+
+def _text(name: str, value: Any, depth: int) -> str:
+    pad = "\t" * depth
+    if isinstance(value, Mapping):
+        return "{\n" + write(value, depth + 1) + pad + "}"
+    if isinstance(value, list | tuple):
+        if not value:
+            return "[]"
+        inner = "".join(f"{pad}\t{_text(name, each, depth + 1)},\n" for each in value)
+        return "[\n" + inner + pad + "]"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+    if value is None:
+        return "null"
+    if name in DURATIONS:
+        return f"{_number(value)}ms"
+    if name in RATES:
+        return f"{_number(value)}/s"
+    return _number(value)
+
+
+def _number(value: float) -> str:
+    if isinstance(value, int):
+        return str(value)
+    return f"{value:.9f}".rstrip("0").rstrip(".")
--- /dev/null
+++ b/ochrecourse/standins/node.py
@@ -0,0 +1,257 @@
+"""A storage node on a socket: docs/node-protocol.md spoken in front of a `Machine`."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory
+from zope.interface import implementer
+
+from ochrecourse.audit import records as r
+from ochrecourse.outside import MS, Clock, now_ns
+from ochrecourse.standins.machine import Machine, Work
+from ochrecourse.wire import messages as m
+from ochrecourse.wire.framed import Framed
+from ochrecourse.wire.moves import IllegalMove, Open, Side, leg_moves
+
+
+class _Answer:
+    """An answer being sent: what is left of it, and how much may go before more credit."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self.pieces = deque(pieces)
+        self.credit = m.WINDOW
+
+
+@implementer(IPushProducer)
+class NodePort(Framed):
+    """One gateway's connection."""
+
+    def __init__(self, factory: NodePorts) -> None:
+        super().__init__(factory.clock, Side.ANSWERING, leg_moves())
+        self.factory = factory
+        self.machine = factory.machine
+        factory.count += 1
+        self.conn = factory.count
+        self.gateway = ""
+        self.legs: dict[int, Work] = {}
+        self.answers: dict[int, _Answer] = {}
+        self.blocked = False
+
+    def ready(self) -> None:
+        if len(self.factory.ports) >= self.machine.kind.connections:
+            self.cut()
+            return
+        self.factory.ports[self] = None
+        self.transport.registerProducer(self, True)
+        if not self.machine.silent:
+            self.clock.callLater(self.machine.kind.handshake_ms / 1000, self._greet)
+
+    def _greet(self) -> None:
+        if self.up and not self.machine.silent and not self.machine.down:
+            self.say(m.Hello(version=m.VERSION, role="node", name=str(self.machine.number)))
+            if self.machine.draining:
+                self.say(m.Bye(reason="draining"))
+
+    def took(self, message: m.Any, body: bytes, after: Open | None) -> None:
+        if isinstance(message, m.Hello):
+            self.gateway = message.name
+        elif isinstance(message, m.LegSent):
+            self._leg(message, body, after)
+        elif isinstance(message, m.Part):
+            work = self.legs.get(message.id)
+            if work is not None:
+                work.body.append(body)
+                if after is Open.WHOLE:
+                    self.machine.offer(work)
+        elif isinstance(message, m.Cancel):
+            self._cancel(message.id, after)
+        elif isinstance(message, m.Credit):
+            answer = self.answers.get(message.id)
+            if answer is not None:
+                answer.credit += message.bytes
+                self._send_parts()
+        elif isinstance(message, m.Probe) and not self.machine.silent:
+            self.say(m.Alive(id=message.id, load=self.machine.report()))
+
+    def _leg(self, message: m.LegSent, body: bytes, after: Open | None) -> None:
+        if message.product not in self.machine.products:
+            raise IllegalMove("unknown_product", f"no product {message.product!r} is known here")
+        now = now_ns(self.clock)
+        work = Work(
+            mark=message.mark,
+            trace=message.trace,
+            number=message.number,
+            product=message.product,
+            volume=message.volume,
+            key=message.key,
+            units=message.units,
+            write=message.write,
+            window=round(message.window_ms * MS),
+            expires=now + round(message.patience_ms * MS) if message.patience_ms else 0,
+            gateway=self.gateway,
+            reply=lambda work, how: self._reply(message.id, work, how),
+            body=[body] if body else [],
+        )
+        self.legs[message.id] = work
+        work.cost = self.machine.cost_of(work)
+        self.machine.record(self._came(message, work, now))
+        if message.shard not in (-1, self.machine.shard.number):
+            self._reply(message.id, work, "not held")
+        elif after is Open.WHOLE:
+            self.machine.offer(work)
+
+    def _came(self, message: m.LegSent, work: Work, now: int) -> r.LegCame:
+        return r.LegCame(
+            t=now,
+            node=self.machine.number,
+            gateway=self.gateway,
+            conn=self.conn,
+            id=message.id,
+            mark=message.mark,
+            trace=message.trace,
+            number=message.number,
+            product=message.product,
+            volume=message.volume,
+            key=message.key,
+            units=message.units,
+            work=work.cost,
+        )
+
+    def _cancel(self, number: int, after: Open | None) -> None:
+        self.machine.record(
+            r.LegGivenUp(t=now_ns(self.clock), node=self.machine.number, conn=self.conn, id=number)
+        )
+        work = self.legs.pop(number, None)
+        answering = self.answers.pop(number, None)
+        if work is None and answering is not None:
+            self._over(number, "done")
+            self.say(m.Cancelled(id=number, ran="maybe"))
+        if work is None or after in (Open.CLOSED, None):
+            return
+        ran = self.machine.stop(work)
+        if not self.machine.silent:
+            self._over(number, "cancelled")
+            self.say(m.Cancelled(id=number, ran=ran))
+
+    def _over(self, number: int, how: str) -> None:
+        self.machine.record(
+            r.LegOver(t=now_ns(self.clock), node=self.machine.number, conn=self.conn, id=number, how=how)
+        )
+
+    def _reply(self, number: int, work: Work, how: str) -> None:
+        if self.legs.get(number) is not work or not self.up:
+            return  # cancelled, or the connection is gone
+        del self.legs[number]
+        load = self.machine.report()
+        used, elsewhere = self.machine.totals(work.volume, work.gateway)
+        if how == "done":
+            pieces = [
+                piece[at : at + m.MAX_BODY]
+                for piece in self.machine.content(work)
+                for at in range(0, len(piece), m.MAX_BODY)
+            ]
+            size = sum(map(len, pieces))
+            if (
+                pieces
+                and self.machine.reset_share
+                and self.machine.chance.random() < self.machine.reset_share
+            ):
+                self._reset(number, pieces, size)
+                return
+            inline = pieces.pop(0) if len(pieces) == 1 else b""
+            if not pieces:
+                self._over(number, "done")
+            else:
+                self.answers[number] = _Answer(pieces)
+            self.say(
+                m.Done(
+                    id=number,
+                    size=size,
+                    shard=self.machine.shard.number,
+                    repeat=work.repeat,
+                    load=load,
+                    used=used,
+                    elsewhere=elsewhere,
+                ),
+                inline,
+            )
+            self._send_parts()
+            return
+        self._over(number, {"failed": "failed", "not held": "moot"}.get(how, "full"))
+        if how == "failed":
+            self.say(
+                m.Failed(id=number, text="the node failed the leg", load=load, used=used, elsewhere=elsewhere)
+            )
+        else:
+            self.say(m.Full(id=number, why=how, load=load))
+
+    def _reset(self, number: int, pieces: list[bytes], size: int) -> None:
+        """Trouble: the connection breaks inside the answer."""
+        self._over(number, "cut")
+        self.say(
+            m.Done(id=number, size=size + 1, shard=self.machine.shard.number),
+            pieces[0][: len(pieces[0]) // 2],
+        )
+        self.transport.loseConnection()
+
+    def _send_parts(self) -> None:
+        while self.answers and not self.blocked and self.up:
+            number, answer = next(iter(self.answers.items()))
+            if answer.credit <= 0:
+                ready = [each for each, other in self.answers.items() if other.credit > 0]
+                if not ready:
+                    return
+                number, answer = ready[0], self.answers[ready[0]]
+            piece = answer.pieces.popleft()
+            answer.credit -= len(piece)
+            del self.answers[number]
+            if answer.pieces:
+                self.answers[number] = answer  # to the end: answers take turns
+            else:
+                self._over(number, "done")
+            self.say(m.Part(id=number), piece)
+
+    def pauseProducing(self) -> None:
+        self.blocked = True
+
+    def resumeProducing(self) -> None:
+        self.blocked = False
+        self._send_parts()
+
+    def stopProducing(self) -> None:
+        self.blocked = True
+
+    def closed(self, half: bool) -> None:
+        self.factory.ports.pop(self, None)
+        for number in [*self.legs, *self.answers]:
+            self._over(number, "cut")
+        self.legs.clear()
+        self.answers.clear()
+
+
+class NodePorts(Factory):
+    """Makes a `NodePort` for each connection to one node."""
+
+    noisy = False
+
+    def __init__(self, machine: Machine, clock: Clock, first: int = 0) -> None:
+        """`first`: connections count on from here, so that no two lives of a node share a number."""
+        self.machine = machine
+        self.clock = clock
+        self.ports: dict[NodePort, None] = {}
+        self.count = first
+
+    def buildProtocol(self, addr: Any) -> NodePort | None:
+        return None if self.machine.down else NodePort(self)
+
+    def cut_all(self) -> None:
+        for port in list(self.ports):
+            port.cut()
+
+    def say_bye(self) -> None:
+        for port in self.ports:
+            if Side.ANSWERING in port.moves.greeted:
+                port.say(m.Bye(reason="draining"))
