--- a/ochrecourse/cli/admin.py
+++ b/ochrecourse/cli/admin.py
@@ -36,10 +36,10 @@
     isLeaf = True
 
     def __init__(self, daemon: Daemon) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.daemon = daemon
         self.registry = CollectorRegistry()
-        self.registry.register(_Figures(daemon))  # type: ignore[arg-type]
+        self.registry.register(_Figures(daemon))
 
     def render_GET(self, request: Any) -> bytes:
         request.setHeader(b"content-type", b"text/plain; charset=utf-8")
@@ -56,4 +56,4 @@
 
 
 def admin_site(daemon: Daemon) -> Site:
-    return Site(_Page(daemon))
+    return Site(_Page(daemon))  # type: ignore[no-untyped-call]
--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -148,6 +148,7 @@
 class Host:
     def __init__(self, values: Mapping[str, str], seed: int, now: int) -> None:
         self.values = values
+        self.numbers = dict[str, float]()  # what was read of the values, which stay as they are
         self.chance = seed
         self.products = [Product(self, f"Classes.{i}.") for i in range(int(self.number("Classes.count")))]
         self.gateways = max(1.0, self.number("Instances", 1.0))
@@ -176,8 +177,11 @@
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
+        if (known := self.numbers.get(name)) is not None:
+            return known
         try:
-            return float(self.text(name, None if default is None else str(default)))
+            self.numbers[name] = float(self.text(name, None if default is None else str(default)))
+            return self.numbers[name]
         except ValueError:
             raise MissingValue(f"the settings hold no number under {name}") from None
 
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -340,7 +340,8 @@
             size=request.body.size if request.body else 0,
             trace=request.trace,
         )
-        task.leg = self.nodes.send(said.job, said.node, message, request.body, time_out, self)
+        stall = story.due - story.taken
+        task.leg = self.nodes.send(said.job, said.node, message, request.body, time_out, stall, self)
 
     def _answer(self, said: Verdict, now: int) -> None:
         denied = said.answer is Answer.DENIED
--- a/ochrecourse/lab/bench_day.py
+++ b/ochrecourse/lab/bench_day.py
@@ -1,13 +1,14 @@
-"""A day file of the bench as a day of ours: its sizes, kinds of machine, products, plans, traffic and troubles.
+"""A day file of the bench as a day of ours: its sizes, kinds of machine, products, plans, traffic and
+troubles.
 
-The file is read as data, named on the command line; nothing of it is kept in the program. Times in it are us. What the
-bench models and we don't (jitter of clocks, weights of a rotation) is left out; docs/days.md says what.
+The file is read as data, named on the command line; nothing of it is kept in the program. Times in it are us.
+What the bench models and we don't (jitter of clocks, weights of a rotation) is left out; docs/days.md says
+what.
 """
 
 from __future__ import annotations
 
 import json
-from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -16,8 +17,8 @@
 from ochrecourse.standins.machine import NodeKind
 
 EFFECTS = {"safe": "retriable", "keyed": "fingerprinted", "unsafe": "binding"}
-TRAVEL = 40.0  # ms that an answer may take to its client; the bench states a slack of its own, real sockets need more
-LATENESS = 5.0  # times the file's own delays that a message may take on a busy machine
+# ms that an answer may take to its client; the bench states a slack of its own, real sockets need more
+TRAVEL = 40.0
 
 
 def from_bench_file(path: Path) -> Day:
@@ -81,8 +82,8 @@
         second_copies=bool(allow["second_copies"]),
         retry_after=bool(allow["retry_after"]),
         max_retry_after_ms=clients["max_retry_after"] / 1000,
-        share_worth=fam["worths"][0][1],
-        spare_worth=fam["worths"][0][2],
+        share_worth=fam["worths"][1],
+        spare_worth=fam["worths"][2],
         most_units=int(fam["most_units"]),
         meter_ms=fam["meter"] / 1000 if fam["tells"] in ("fleet", "both") else 0.0,
         meter_late_ms=fam["meter_late"] / 1000,
@@ -97,12 +98,16 @@
 
 
 def _shape(told: Mapping[str, Any]) -> list[list[float]]:
-    """The traffic's steps: part of the day, factor."""
-    return [[step[0] / told["length"] if step[0] > 1 else step[0], step[1]] for step in told["traffic"]["shape"][0]]
+    """The traffic's steps, in s: part of the day, factor."""
+    return [[at * 1e6 / told["length"], factor] for at, factor in told["traffic"]["shape"]]
 
 
 def _product(
-    each: Mapping[str, Any], i: int, fam: Mapping[str, Any], units: Mapping[str, float], told: Mapping[str, Any]
+    each: Mapping[str, Any],
+    i: int,
+    fam: Mapping[str, Any],
+    units: Mapping[str, float],
+    told: Mapping[str, Any],
 ) -> Product:
     return Product(
         name=each["name"],
@@ -127,7 +132,9 @@
     own = [volume for volume in fam["volumes"] if volume["plan"] == i]
     rate = figures["rate"]
     least = min(plan["rate"] for plan in fam["plans"])
-    hosts = [int(volume["hosts"]) if isinstance(volume["hosts"], int) else len(volume["hosts"]) for volume in own]
+    hosts = [
+        int(volume["hosts"]) if isinstance(volume["hosts"], int) else len(volume["hosts"]) for volume in own
+    ]
     spread = [len(volume["nodes"]) for volume in own]
     return Plan(
         name=each["name"],
@@ -186,22 +193,16 @@
         which = told["classes"][each["which"]]["name"]
     elif kind in ("tenant_burst", "retry_abuse", "give_up") and each["which"] < len(told["tenants"]):
         which = told["tenants"][each["which"]]["name"]
-    # The bench counts part, size and extra its own way for each kind; these are the same things in our words.
-    size, extra = float(each["size"]), float(each["extra"])
-    if kind == "retry_abuse":
-        size, extra = extra, size
-    elif kind == "pauses":
-        size = size / 1000 if size > 10_000 else size
+    steps = each.get("steps") or []
     part = len(struck) / count if struck else 0.2
-    steps = Counter(step[0] if isinstance(step, list) else 0 for step in each.get("steps", []))
-    if kind in ("preempt", "balancer_roll") and not struck and steps:
-        part = min(1.0, sum(steps.values()) / count)
+    if steps:
+        part = min(1.0, sum(len(step["stop"]) for step in steps) / count)
     return Trouble(
         kind=kind,
         at_s=each["at"] / 1e6,
         len_s=max(0.5, each["len"] / 1e6),
         part=part,
-        size=size,
-        extra=extra,
+        size=float(each["size"]),
+        extra=1.0 if each.get("how") == "reset" else float(each["extra"]),
         which=which,
     )
--- a/ochrecourse/lab/load.py
+++ b/ochrecourse/lab/load.py
@@ -42,7 +42,7 @@
     shard: int
     gateway: int
     part: float
-    hasty: bool = False
+    hasty: int = 0  # further tries, at once and whatever a denial asks
     give_up: float = 0.0  # of the promised time after which the client leaves; 0: it waits
 
 
@@ -80,7 +80,7 @@
     spans = _surges(day, all_volumes, chance)
     shares = [Shares(day, day.plans[volume.plan]) for volume in all_volumes]
     calls: list[Call] = []
-    keys = [0] * len(all_volumes)
+    keys: dict[tuple[int, bool], int] = {}  # the last of each volume, old objects and new ones apart
     for i, volume in enumerate(all_volumes):
         base = usual[i] * scale / day.mean_units
         steps = _rates(day, volume, base, spans[i])
@@ -99,9 +99,10 @@
             for call in calls:
                 plan = day.plans[call.volume.plan].name
                 if trouble.at_s <= call.at < trouble.at_s + trouble.len_s and trouble.which in ("", plan):
-                    call.hasty = trouble.kind == "retry_abuse"
-                    if call.hasty or chance.random() < (trouble.part or 0.5):
-                        call.give_up = trouble.size or 0.5
+                    if trouble.kind == "retry_abuse":
+                        call.hasty = round(trouble.size) or HASTY_TRIES
+                    if call.hasty or chance.random() < (trouble.size or 0.5):
+                        call.give_up = trouble.extra or 0.5
     return calls
 
 
@@ -152,17 +153,19 @@
     return steps
 
 
-def _call(day: Day, volume: Volume, at: float, chance: random.Random, keys: list[int], i: int) -> Call:
+def _call(
+    day: Day, volume: Volume, at: float, chance: random.Random, keys: dict[tuple[int, bool], int], i: int
+) -> Call:
     product = chance.choices(range(len(day.products)), [each.share for each in day.products])[0]
     units = 1
     while units < day.most_units and chance.random() < 0.5:
         units += 1
-    if not keys[i] or chance.random() * day.runs >= day.runs - 1:
-        keys[i] = volume.number * 1_000_000 + chance.randrange(1, day.keys + 1)
-    key = keys[i]
-    shard = volume.shards[key % len(volume.shards)]
-    if day.products[product].fresh:
-        key, shard = volume.number * 1_000_000 + 500_000 + chance.randrange(400_000), -1
+    fresh = day.products[product].fresh
+    if (i, fresh) not in keys or chance.random() * day.runs >= day.runs - 1:
+        low, high = (500_000, 900_000) if fresh else (1, day.keys + 1)
+        keys[i, fresh] = volume.number * 1_000_000 + chance.randrange(low, high)
+    key = keys[i, fresh]
+    shard = -1 if fresh else volume.shards[key % len(volume.shards)]
     lead = int(at / SHIFT + volume.number) % len(volume.hosts)
     weights = [2.718 ** (-day.skew * ((j - lead) % len(volume.hosts))) for j in range(len(volume.hosts))]
     gateway = chance.choices(volume.hosts, weights)[0]
@@ -535,7 +538,7 @@
 
     def _failed(self, this: Try, how: str, advised: float, may_repeat: bool) -> None:
         call, habits = this.call, self.day.habits
-        tries = HASTY_TRIES if call.hasty else habits.retries
+        tries = call.hasty or habits.retries
         if not may_repeat or this.number >= tries:
             self._end(how)
             return
--- a/ochrecourse/lab/report.py
+++ b/ochrecourse/lab/report.py
@@ -11,8 +11,7 @@
 
 
 def outcome_map(outcomes: Outcomes) -> dict[str, Any]:
-    """Outcomes for scripts; latencies in ms, of fulfilled jobs, from the time at which each was due to leave.
-    """
+    """Outcomes for scripts; latencies in ms, of fulfilled jobs, from when each was due to leave."""
     return {
         "jobs": sum(outcomes.endings.values()),
         "tries": outcomes.tries,
--- a/ochrecourse/nodes/client.py
+++ b/ochrecourse/nodes/client.py
@@ -45,7 +45,7 @@
 
 
 class LegOut:
-    """One leg on its way. `taken` bytes of its answer were handed on, `credited` were granted to the node."""
+    """One leg on its way. `taken` bytes of its answer were handed on, `granted` were credited to the node again."""
 
     def __init__(
         self, number: int, job: int, node: int, message: m.LegSent, body: Body | None, taker: Taker
@@ -65,7 +65,7 @@
         self.taken = 0
         self.granted = 0
         self.over = False
-        self.patience = 0.0  # s
+        self.stall = 0.0  # s
         self.heard_at = 0.0  # s, last byte of an answer that has begun
         self.timer: Timer | None = None
 
@@ -225,15 +225,24 @@
         self._idle: Timer | None = None
 
     def send(
-        self, job: int, node: int, message: m.LegSent, body: Body | None, time_out: int, taker: Taker
+        self,
+        job: int,
+        node: int,
+        message: m.LegSent,
+        body: Body | None,
+        time_out: int,
+        stall: int,
+        taker: Taker,
     ) -> LegOut:
-        """Sends a leg; `time_out` in ns from now. Its end is told to `taker`, never before this returns."""
+        """Sends a leg. `time_out`: ns from now until its answer must begin; `stall`: ns without any more of it after
+        that. Its end is told to `taker`, never before this returns.
+        """
         self.count += 1
         leg = LegOut(self.count, job, node, message, body, taker)
         leg.sent_at = now_ns(self.clock)
         self.out[leg.number] = leg
-        leg.patience = max(0, time_out) / SECOND
-        leg.timer = self.clock.callLater(leg.patience, self._timed_out, leg)
+        leg.stall = max(0, stall) / SECOND
+        leg.timer = self.clock.callLater(max(0, time_out) / SECOND, self._timed_out, leg)
         if self.address_of(node) is None:
             self.clock.callLater(0, self._end, leg, Seen.UNLISTED, None)
             return leg
@@ -324,8 +333,6 @@
         """A message for a leg that is still waited for; `over`: it was the last one."""
         if isinstance(message, m.Done):
             leg.answer = message
-            if not over:
-                leg.granted = m.WINDOW
             leg.taker.began(leg, message)
         leg.heard_at = self.clock.seconds()
         if body and not leg.over:
@@ -357,9 +364,9 @@
                 self.network.connectTCP(address[0], address[1], _Dial(self, line), timeout=self.dial_time + 1)
 
     def _timed_out(self, leg: LegOut) -> None:
-        """An answer that has begun is given up only when nothing more of it came for as long again."""
+        """An answer that has begun is given up only when nothing more of it came for a while."""
         leg.timer = None
-        rest = leg.heard_at + leg.patience - self.clock.seconds()
+        rest = leg.heard_at + leg.stall - self.clock.seconds()
         if leg.answer is not None and rest > 0:
             leg.timer = self.clock.callLater(rest, self._timed_out, leg)
         elif not leg.over:
--- a/ochrecourse/settings/load.py
+++ b/ochrecourse/settings/load.py
@@ -47,7 +47,8 @@
     if not resolver.troubles:
         resolver.troubles += _across(record, resolver.places, tree.place)
     if resolver.troubles:
-        raise Refused(resolver.troubles)
+        # What one place says wrong is told once, however many fields refer to it.
+        raise Refused(list({str(each.place): each for each in reversed(resolver.troubles)}.values())[::-1])
     return record
 
 
--- a/ochrecourse/standins/fleet.py
+++ b/ochrecourse/standins/fleet.py
@@ -173,8 +173,11 @@
     def _fast_errors(self, nodes: list[Node], size: float, *_: Any) -> Callable[[], None]:
         return self._set(nodes, fail_share=size or 0.6)
 
-    def _answer_lost(self, nodes: list[Node], size: float, *_: Any) -> Callable[[], None]:
-        return self._set(nodes, lose_share=size or 0.3)
+    def _answer_lost(self, nodes: list[Node], size: float, extra: float, *_: Any) -> Callable[[], None]:
+        """The work is done and its answer does not come back; with `extra` the connection breaks in its
+        place.
+        """
+        return self._set(nodes, **{"reset_share" if extra else "lose_share": size or 0.3})
 
     def _cut_answers(self, nodes: list[Node], size: float, *_: Any) -> Callable[[], None]:
         return self._set(nodes, reset_share=size or 0.3)
--- a/ochrecourse/standins/node.py
+++ b/ochrecourse/standins/node.py
@@ -154,11 +154,8 @@
                 for at in range(0, len(piece), m.MAX_BODY)
             ]
             size = sum(map(len, pieces))
-            if (
-                pieces
-                and self.machine.reset_share
-                and self.machine.chance.random() < self.machine.reset_share
-            ):
+            share = self.machine.reset_share
+            if share and self.machine.chance.random() < share:
                 self._reset(number, pieces, size)
                 return
             inline = pieces.pop(0) if len(pieces) == 1 else b""
@@ -189,12 +186,11 @@
             self.say(m.Full(id=number, why=how, load=load))
 
     def _reset(self, number: int, pieces: list[bytes], size: int) -> None:
-        """Trouble: the connection breaks inside the answer."""
+        """Trouble: the connection breaks inside the answer, or before an answer without a body."""
         self._over(number, "cut")
-        self.say(
-            m.Done(id=number, size=size + 1, shard=self.machine.shard.number),
-            pieces[0][: len(pieces[0]) // 2],
-        )
+        if pieces:
+            half = pieces[0][: len(pieces[0]) // 2]
+            self.say(m.Done(id=number, size=size + 1, shard=self.machine.shard.number), half)
         self.transport.loseConnection()
 
     def _send_parts(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,14 @@
 """Settings, hosts and records for the tests."""
 
 import pytest
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
 
 from ochrecourse.decide import MS, SECOND, Host
+from ochrecourse.gateway.front import FrontFactory
+from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.interface import Ending, Health, Job, LegEnd, ListKind, NodeEntry
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.wire import messages as m
 
 VALUES = {
     "Classes.count": "3",
@@ -56,3 +61,142 @@
 @pytest.fixture
 def make_desk():
     return Desk
+
+
+class Wire:
+    """A raw end of a connection for the tests: it sends any bytes, legal or not, and keeps what it got.
+
+    `network` is real or virtual; `connect` or `listen` says which side it takes.
+    """
+
+    def __init__(self, network):
+        self.network = network
+        self.raw = b""
+        self.seen = 0
+        self.got = []
+        self.lost = False
+        self.transport = None
+        self.on_message = lambda wire, message, body: None
+
+    def connect(self, port):
+        wire = self
+
+        class Factory(ClientFactory):
+            noisy = False
+
+            def buildProtocol(self, addr):
+                return wire.end()
+
+        self.network.connectTCP("127.0.0.1", port, Factory(), timeout=5)
+        return self
+
+    def end(self):
+        wire = self
+
+        class End(Protocol):
+            def connectionMade(self):
+                wire.transport = self.transport
+
+            def dataReceived(self, data):
+                wire.raw += data
+                wire.take()
+
+            def connectionLost(self, reason=None):
+                wire.lost = True
+
+        return End()
+
+    def take(self):
+        while b"\r\n" in self.raw[self.seen :]:
+            end = self.raw.index(b"\r\n", self.seen)
+            message = m.decode(self.raw[self.seen : end])
+            if len(self.raw) < end + 2 + message.body:
+                return
+            body = self.raw[end + 2 : end + 2 + message.body]
+            self.seen = end + 2 + message.body
+            self.got.append((message, body))
+            self.on_message(self, message, body)
+
+    def told(self, kind):
+        return [message for message, _ in self.got if isinstance(message, kind)]
+
+    def say(self, message, body=b""):
+        self.transport.write(m.encode(message, body))
+
+
+class ScriptedNode:
+    """A storage node that does what a test says: `on_message` of each connection's Wire, hello already said."""
+
+    def __init__(self, network, on_message, hello=True):
+        node = self
+        self.wires = []
+
+        class Ports(ServerFactory):
+            noisy = False
+
+            def buildProtocol(self, addr):
+                wire = Wire(network)
+                wire.on_message = on_message
+                node.wires.append(wire)
+                end = wire.end()
+                made = end.connectionMade
+
+                def connection_made():
+                    made()
+                    if hello:
+                        wire.say(m.Hello(version=m.VERSION, role="node"))
+
+                end.connectionMade = connection_made
+                return end
+
+        self.port = network.listenTCP(0, Ports(), interface="127.0.0.1").getHost().port
+
+
+class Yard:
+    """A gateway with its front on a virtual network, and scripted nodes behind it."""
+
+    def __init__(self, *scripts, **changes):
+        self.network = VirtualNetwork(5)
+        names = {"Classes.0.Name": "read", "Classes.1.Name": "mark", "Classes.2.Name": "bind"}
+        plans = {"Policies.count": "3", "Policies.0.Name": "p0", "Policies.1.Name": "p1", "Policies.2.Name": "p2"}
+        values = {**VALUES, **names, **plans, "FamilyInfo.Writes": "false,true,true"}
+        values.update({name.replace("__", "."): value for name, value in changes.items()})
+        self.stories = []
+        self.gateway = Gateway(values, 7, self.network, "g0", travel=20 * MS, observers=[self])
+        self.front = FrontFactory(self.gateway, self.network, 8)
+        self.port = self.network.listenTCP(0, self.front).getHost().port
+        self.nodes = [ScriptedNode(self.network, script) for script in scripts]
+        entries = [NodeEntry(70 + i, 0, i, Health.READY, 0) for i in range(len(scripts))]
+        where = {70 + i: ("127.0.0.1", node.port) for i, node in enumerate(self.nodes)}
+        self.gateway.list_came(ListKind.FULL, entries, where)
+
+    def job_over(self, gateway, story):
+        self.stories.append(story)
+
+    def client(self):
+        wire = Wire(self.network).connect(self.port)
+        self.network.advance(0.01)
+        wire.say(m.Hello(version=m.VERSION, role="client"))
+        return wire
+
+    def ask(self, wire, number=1, product="read", body=b"", **more):
+        told = {"plan": "p0", "volume": 1, "timeout_ms": 1000, "shard": 0, "size": len(body), **more}
+        wire.say(m.JobAsked(id=number, product=product, **told), body)
+
+    def run(self, seconds=3.0):
+        self.network.advance(seconds)
+
+
+@pytest.fixture
+def make_yard():
+    return Yard
+
+
+@pytest.fixture
+def make_wire():
+    return Wire
+
+
+@pytest.fixture
+def make_node():
+    return ScriptedNode
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,315 @@
+"""State without I/O: proofs, pool, books, lateness, leaving, sampling, the list of nodes."""
+
+import pytest
+
+from ochrecourse.durable import sealed
+from ochrecourse.gateway.lateness import Lateness
+from ochrecourse.gateway.leaving import Leaving, Stage
+from ochrecourse.gateway.ledger import Closing, JobStory, Ledger, Unbooked
+from ochrecourse.gateway.sampling import Sampling
+from ochrecourse.interface import Ending, Health, ListKind
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.membership import kept
+from ochrecourse.membership.follower import Follower
+from ochrecourse.membership.view import BadList, Copy, View
+from ochrecourse.nodes.pool import Pool, PoolLimits, State
+from ochrecourse.nodes.proof import PROVES, Close, Ran, Seen, Written, seen_at_close, seen_at_timeout
+from ochrecourse.outside import MS, SECOND
+from ochrecourse.standins.listserver import ListServer
+from ochrecourse.wire.messages import Listed
+
+# --- what events prove ---
+
+
+def test_every_event_has_its_proof_and_none_claims_more_than_is_known():
+    assert set(PROVES) == set(Seen)
+    sure = {Ending.UNREACHABLE, Ending.FULL, Ending.MOOT}
+    for seen, proof in PROVES.items():
+        assert (proof.ending in sure) == (proof.ran is Ran.NO), seen
+        assert (proof.ending is Ending.FULFILLED) == (seen is Seen.DONE)
+
+
+@pytest.mark.parametrize(
+    ("written", "answering", "how", "seen"),
+    [
+        (Written.NOTHING, False, Close.BETWEEN, Seen.CLOSED_BEFORE),
+        (Written.PART, False, Close.BETWEEN, Seen.CLOSED_DURING),
+        (Written.WHOLE, False, Close.BETWEEN, Seen.CLOSED_AFTER),
+        (Written.WHOLE, False, Close.HALF_HEADER, Seen.HALF_HEADER),
+        (Written.WHOLE, True, Close.BETWEEN, Seen.HALF_BODY),
+        (Written.WHOLE, False, Close.GARBLED, Seen.GARBLED),
+        (Written.PART, False, Close.GARBLED, Seen.GARBLED_BEFORE),
+    ],
+)
+def test_the_end_of_a_connection_by_how_far_the_leg_had_come(written, answering, how, seen):
+    assert seen_at_close(written, answering, how) is seen
+
+
+def test_a_time_out_proves_that_nothing_ran_only_before_the_last_byte():
+    assert seen_at_timeout(Written.PART, False) is Seen.TIMEOUT_BEFORE
+    assert seen_at_timeout(Written.WHOLE, False) is Seen.TIMEOUT
+    assert seen_at_timeout(Written.WHOLE, True) is Seen.BROKE_OFF
+
+
+# --- the pool ---
+
+
+@pytest.fixture
+def pool():
+    return Pool(PoolLimits(legs=2, connections=2, dials=1, idle=SECOND))
+
+
+def test_legs_fill_connections_up_to_their_caps_then_find_no_room(pool):
+    places = [pool.place(70, leg) for leg in range(1, 6)]
+    assert [place.line and place.line.number for place in places] == [1, 1, 2, 2, None]
+    assert not any(place.now for place in places)
+
+
+def test_dials_of_one_gateway_wait_for_each_other(pool):
+    for leg, node in enumerate((70, 71, 72), 1):
+        pool.place(node, leg)
+    first = pool.next_dial()
+    assert first.node == 70 and pool.next_dial() is None
+    assert pool.opened(first, 0) == [1]
+    assert pool.next_dial().node == 71
+
+
+def test_a_failed_dial_gives_its_legs_back_and_frees_the_next(pool):
+    pool.place(70, 1)
+    pool.place(70, 2)
+    pool.place(71, 3)
+    assert pool.gone(pool.next_dial()) == [1, 2]
+    assert pool.next_dial().node == 71 and 70 not in pool.lines
+
+
+def test_a_queued_connection_that_nobody_waits_for_is_not_dialled(pool):
+    pool.next_dial()
+    pool.place(70, 1)
+    line = pool.place(71, 2).line
+    pool.leg_over(line, 2, 0)
+    assert pool.next_dial().node == 70
+    assert pool.next_dial() is None and 71 not in pool.lines
+
+
+def test_idle_connections_are_closed_in_order_and_a_new_leg_saves_one(pool):
+    lines = []
+    for node in (70, 71):
+        line = pool.place(node, node).line
+        pool.next_dial()
+        pool.opened(line, 0)
+        pool.leg_over(line, node, node * MS)
+        lines.append(line)
+    assert pool.next_due() == 70 * MS + SECOND
+    assert pool.place(70, 9).now
+    assert pool.next_idle(70 * MS + SECOND) is None
+    assert pool.next_idle(71 * MS + SECOND) is lines[1] and lines[1].state is State.LEAVING
+
+
+def test_a_leaving_connection_takes_no_leg_and_closes_with_its_last(pool):
+    line = pool.place(70, 1).line
+    pool.next_dial()
+    pool.opened(line, 0)
+    assert not pool.leaving(line)
+    assert pool.place(70, 2).line is not line
+    assert pool.leg_over(line, 1, 0)
+
+
+# --- the books ---
+
+
+def story(number=1, latest=1000):
+    return JobStory(number, 0, 0, 1, 1.0, 0, 900, latest)
+
+
+def test_a_job_is_answered_once_and_never_after_its_client_gave_up():
+    books = Ledger()
+    books.take(story(1))
+    books.take(story(2))
+    assert books.answer(1, Closing.DENIED, 500) and not books.answer(1, Closing.WRITTEN_OFF, 501)
+    assert books.answer(2, Closing.WRITTEN_OFF, 1001) is None and books.closings[Closing.TOO_LATE] == 1
+    assert books.open == 0 and books.answer(3, Closing.DENIED, 0) is None
+
+
+def test_a_job_with_a_leg_out_stays_in_the_books_until_it_ends():
+    books = Ledger()
+    books.take(one := story())
+    books.send(1, 0, 70, 10)
+    books.answer(1, Closing.CLIENT_GONE, 20)
+    assert not books.forget(one) and books.send(1, 1, 70, 30) is None
+    books.ended(1, 0, Ending.TIMEOUT, "why", 40)
+    assert books.forget(one) and not books.forget(one) and not books.jobs
+
+
+@pytest.mark.parametrize("call", [
+    lambda books: books.take(story()),
+    lambda books: books.send(1, 2, 70, 0),
+    lambda books: books.ended(1, 0, Ending.ERROR, "", 0),
+    lambda books: books.ended(9, 0, Ending.ERROR, "", 0),
+])  # fmt: skip
+def test_what_is_not_booked_is_told(call):
+    books = Ledger()
+    books.take(story())
+    with pytest.raises(Unbooked):
+        call(books)
+
+
+def test_an_answer_that_breaks_off_counts_as_written_off():
+    books = Ledger()
+    books.take(one := story())
+    books.answer(1, Closing.FULFILLED, 5)
+    books.broke_off(one)
+    assert books.closings[Closing.FULFILLED] == 0 and books.closings[Closing.WRITTEN_OFF] == 1
+
+
+# --- lateness, leaving, sampling ---
+
+
+def test_jobs_read_after_a_stall_are_taken_to_have_waited_for_it():
+    late = Lateness()
+    assert not late.timer_came(100 * MS, 102 * MS) and late.sent_at(102 * MS) == 102 * MS
+    assert late.timer_came(200 * MS, 500 * MS) and late.sent_at(500 * MS) == 200 * MS
+    late.turned()
+    assert late.sent_at(501 * MS) == 501 * MS and late.worst_since(400 * MS) == 300 * MS
+    assert late.worst_since(600 * MS) == 0
+
+
+def test_a_gateway_leaves_with_its_last_job_or_its_last_client():
+    leaving = Leaving()
+    assert leaving.takes() and leaving.begin(100, 500) and not leaving.begin(101, 900) and not leaving.takes()
+    assert not leaving.look(200, 1, 0) and not leaving.look(200, 0, 1)
+    assert leaving.look(500, 1, 1) and leaving.stage is Stage.LEFT and not leaving.look(501, 0, 0)
+
+
+def test_jobs_that_went_wrong_find_room_in_a_flooded_log():
+    sampling = Sampling(10)
+    assert sum(sampling.writes(True, 1) for _ in range(50)) == 5
+    assert sum(sampling.writes(False, 1) for _ in range(50)) == 5
+    assert sampling.take_dropped() == 90 and sampling.take_dropped() == 0
+    assert sampling.writes(False, 1 + SECOND)
+
+
+# --- the list of nodes ---
+
+
+def listed(node, health="ready", age=-1.0):
+    return Listed(node=node, address=f"127.0.0.1:{node}", shard=node - 70, health=health, started_ms_ago=age)
+
+
+def test_changes_are_taken_in_order_and_a_gap_asks_for_the_whole_list():
+    view = View()
+    view.list_came("full", 5, [listed(70), listed(71)], SECOND)
+    news = view.list_came("delta", 6, [listed(71, "draining")], SECOND)
+    assert news.kind is ListKind.DELTA and news.entries[0].health is Health.DRAINING
+    assert view.list_came("delta", 6, [listed(71)], SECOND) is None and view.repeats == 1
+    assert view.list_came("delta", 8, [listed(70, "gone")], SECOND) is None and view.gaps == 1 and view.epoch == 0
+    assert view.list_came("delta", 9, [listed(70, "gone")], SECOND) is None  # still none until the whole list came
+    assert view.list_came("full", 9, [listed(71)], SECOND).kind is ListKind.FULL and set(view.lines) == {71}
+
+
+def test_the_same_start_told_twice_is_one_start():
+    view = View()
+    first = view.list_came("full", 1, [listed(70, age=500)], 10 * SECOND).entries[0].started
+    again = view.list_came("full", 2, [listed(70, age=1520)], 11 * SECOND).entries[0].started
+    assert first == again == 9500 * MS or first == 9500 * MS
+
+
+@pytest.mark.parametrize("bad", [
+    Listed(node=70, address="nowhere"), Listed(node=70, address="h:99999"), Listed(node=70, address="h:1", health="ill"),
+    Listed(node=-1, address="h:1"), Listed(node=1, address="h:1", zone=70_000),
+])  # fmt: skip
+def test_a_list_with_a_wrong_line_is_not_taken_at_all(bad):
+    view = View()
+    with pytest.raises(BadList):
+        view.list_came("full", 1, [listed(71), bad], SECOND)
+    assert not view.lines and view.epoch == 0
+
+
+def test_a_kept_list_from_another_clock_makes_every_node_new():
+    view = View()
+    view.list_came("full", 3, [listed(70), listed(71, age=100)], 50 * SECOND)
+    copy = view.copy(60 * SECOND)
+    same = View().read_back(copy, 61 * SECOND)
+    assert [entry.started for entry in same.entries] == [0, 50 * SECOND - 100 * MS]
+    other = View().read_back(copy, 5 * SECOND)
+    assert [entry.started for entry in other.entries] == [5 * SECOND, 5 * SECOND] and other.kind is ListKind.CACHED
+
+
+def test_a_kept_list_survives_and_a_damaged_one_is_told(tmp_path):
+    path = tmp_path / "g0.nodes"
+    assert kept.load(path) is None
+    kept.save(path, Copy(4, 7, [listed(70)]))
+    assert kept.load(path) == Copy(4, 7, [listed(70)])
+    whole = path.read_bytes()
+    for broken in (whole[:-1], whole[:10], b"", whole.replace(b"127", b"128"), b"ochrecourse nodes 9 0 00000000\n"):
+        path.write_bytes(broken)
+        with pytest.raises(sealed.Damaged):
+            kept.load(path)
+
+
+def test_a_crash_while_a_list_is_written_leaves_the_old_one(tmp_path, monkeypatch):
+    path = tmp_path / "g0.nodes"
+    kept.save(path, Copy(1, 7, [listed(70)]))
+    for step in ("fsync", "replace"):
+        with monkeypatch.context() as broken:
+            broken.setattr(f"os.{step}", lambda *words: (_ for _ in ()).throw(OSError("power")))
+            with pytest.raises(OSError):
+                kept.save(path, Copy(2, 8, [listed(71)]))
+        assert kept.load(path).epoch == 1
+
+
+@pytest.fixture
+def followed():
+    """A list server and a follower of it on a virtual network, and the news that came."""
+    network, news = VirtualNetwork(3), []
+    server = ListServer(network, 1, 0.01, lambda record: None)
+    server.put(listed(70), 0)
+    server.put(listed(71), 0)
+    port = network.listenTCP(0, server).getHost().port
+    follower = Follower("g0", network, ("127.0.0.1", port), news.append, None, 9)
+    follower.start()
+    network.advance(0.1)
+    return network, server, follower, news
+
+
+def test_a_break_during_a_drain_notice_costs_less_than_a_second(followed):
+    network, server, follower, news = followed
+    server.change(listed(71, "draining"), 0)
+    server.break_all()  # the notice is on its way
+    network.advance(0.6)
+    assert news[-1].entries[0].health is Health.DRAINING and follower.counts["breaks"] == 1
+    assert follower.view.lines[71].health == "draining"
+
+
+def test_after_more_changes_than_are_kept_the_whole_list_comes(followed):
+    network, server, follower, news = followed
+    server.gone = True
+    server.break_all()
+    network.advance(1)
+    for age in range(300):
+        server.change(listed(70, "ready", age=age), 1)
+    server.change(listed(71, "draining"), 0)
+    server.gone = False
+    network.advance(3)
+    assert news[-1].kind is ListKind.FULL and follower.view.epoch == server.epoch
+    assert follower.view.lines[71].health == "draining"
+
+
+def test_a_list_server_that_tells_nonsense_is_left_and_asked_again(followed):
+    network, server, follower, _ = followed
+    server.change(Listed(node=72, address="nowhere"), 0)
+    network.advance(1)
+    assert follower.counts["breaks"] >= 1 and set(follower.view.lines) == {70, 71}
+    server.lines.pop(72)
+    server.epoch += 300
+    network.advance(5)
+    assert follower.view.epoch == server.epoch
+
+
+def test_a_follower_starts_with_the_kept_list_and_ignores_a_damaged_one(tmp_path):
+    path, told, warned = tmp_path / "n", [], []
+    kept.save(path, Copy(4, 7, [listed(70)]))
+    Follower("g0", VirtualNetwork(1), ("h", 1), told.append, path, 1, warned.append).start()
+    assert told[0].kind is ListKind.CACHED and not warned
+    path.write_bytes(b"rubbish")
+    Follower("g0", VirtualNetwork(1), ("h", 1), told.append, path, 1, warned.append).start()
+    assert len(told) == 1 and "not a file of ours" in warned[0]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,173 @@
+"""Framing, messages and moves: any bytes, any split, any order."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.wire import messages as m
+from ochrecourse.wire.framed import Framed
+from ochrecourse.wire.moves import IllegalMove, ListMoves, Open, Side, job_moves, leg_moves
+
+HELLO = m.Hello(version=m.VERSION, role="client")
+
+
+class Sink:
+    """A transport that keeps what is written."""
+
+    def __init__(self):
+        self.data, self.closed, self.disconnecting = b"", False, False
+
+    def write(self, data):
+        self.data += data
+
+    def loseConnection(self):
+        self.closed = self.disconnecting = True
+
+    abortConnection = loseConnection
+
+
+class Ear(Framed):
+    def __init__(self):
+        super().__init__(VirtualNetwork(1), Side.ANSWERING, job_moves())
+        self.heard = []
+
+    def took(self, message, body, after):
+        self.heard.append((message, body, after))
+
+
+def ear():
+    end = Ear()
+    end.makeConnection(Sink())
+    return end
+
+
+texts = st.text(st.characters(codec="utf-8", exclude_categories=["Cs"]), max_size=20)
+bodies = st.binary(max_size=300)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.tuples(texts, bodies), min_size=1, max_size=6), st.lists(st.integers(1, 40), min_size=1))
+def test_any_split_of_the_stream_gives_the_same_messages(jobs, cuts):
+    said = [m.encode(HELLO)]
+    for number, (trace, body) in enumerate(jobs):
+        asked = m.JobAsked(id=number, product="p", plan="q", volume=1, timeout_ms=5, size=len(body), trace=trace)
+        said.append(m.encode(asked, body))
+    data, end, at, turn = b"".join(said), ear(), 0, 0
+    while at < len(data):
+        step = cuts[turn % len(cuts)]
+        end.dataReceived(data[at : at + step])
+        at, turn = at + step, turn + 1
+    assert [(each.trace, body) for each, body, _ in end.heard[1:]] == jobs
+    assert not end.transport.closed and all(after is Open.WHOLE for _, _, after in end.heard[1:])
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.binary(max_size=400))
+def test_any_bytes_end_in_messages_or_one_fault(data):
+    end = ear()
+    end.dataReceived(m.encode(HELLO))
+    end.dataReceived(data)
+    if end.transport.closed:
+        assert end.ended_by is not None and end.transport.data.count(b'"m":"fault"') == 1
+    end.connectionLost()
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=200) | texts.map(str.encode))
+def test_decoding_raises_nothing_but_its_own_error(line):
+    try:
+        message = m.decode(line)
+    except m.BadMessage:
+        return
+    assert m.decode(m.encode(message)[:-2]) == message
+
+
+def test_what_is_encoded_decodes_to_itself():
+    done = m.Done(id=3, size=5, load={"rif": 2.0}, used=0.5, elsewhere=7, shard=2)
+    line, _, body = m.encode(done, b"12345").partition(b"\r\n")
+    assert m.decode(line) == done and done.body == 5 and body == b"12345"
+
+
+def test_unknown_fields_are_skipped_and_unknown_messages_told():
+    assert m.decode(b'{"m":"leave","id":4,"later":"field"}') == m.Leave(id=4)
+    with pytest.raises(m.BadMessage, match="dance"):
+        m.decode(b'{"m":"dance"}')
+
+
+def asked(number, **more):
+    return m.JobAsked(id=number, product="p", plan="q", volume=1, timeout_ms=5, **more)
+
+
+def opened(moves, *messages):
+    for side in Side:
+        moves.step(side, HELLO)
+    for side, message in messages:
+        moves.step(side, message)
+    return moves
+
+
+ASK, ANSWER = Side.ASKING, Side.ANSWERING
+
+
+@pytest.mark.parametrize(
+    ("before", "side", "message", "code"),
+    [
+        ([], ANSWER, asked(1), "wrong_side"),
+        ([(ASK, asked(4))], ASK, asked(4), "repeated_id"),
+        ([(ASK, asked(4))], ASK, asked(2), "repeated_id"),
+        ([], ANSWER, m.Denied(id=1), "never_opened"),
+        ([(ASK, asked(1)), (ANSWER, m.Denied(id=1))], ANSWER, m.WrittenOff(id=1), "over"),
+        ([(ASK, asked(1)), (ANSWER, m.Fulfilled(id=1))], ANSWER, m.Fulfilled(id=1), "over"),
+        ([(ASK, asked(1)), (ANSWER, m.Fulfilled(id=1, size=3))], ANSWER, m.Part(id=1, body=4), "body_too_long"),
+        ([(ASK, asked(1, size=3))], ASK, m.Part(id=1, body=4), "body_too_long"),
+        ([(ASK, asked(1))], ASK, m.Part(id=1, body=4), "illegal"),
+        ([(ASK, asked(1))], ASK, m.Bye(), None),
+        ([(ASK, m.Bye())], ASK, asked(1), "after_bye"),
+        ([], ASK, m.Hello(version=1, role="x"), "second_hello"),
+        ([(ASK, asked(1))], ANSWER, m.Cancelled(id=1), "illegal"),
+        ([(ASK, asked(1)), (ANSWER, m.Denied(id=1))], ASK, m.Leave(id=1), None),  # it crossed the answer
+        ([(ASK, asked(1)), (ASK, m.Leave(id=1))], ANSWER, m.Fulfilled(id=1, size=9), None),
+        ([(ASK, asked(1, size=9)), (ANSWER, m.Denied(id=1))], ASK, m.Part(id=1, body=9), None),
+        ([(ASK, asked(1)), (ASK, m.Leave(id=1)), (ANSWER, m.Left(id=1))], ANSWER, m.Denied(id=1), "over"),
+    ],
+)
+def test_each_move_is_legal_or_a_named_error(before, side, message, code):
+    moves = opened(job_moves(), *before)
+    if code is None:
+        moves.step(side, message)
+        return
+    with pytest.raises(IllegalMove) as told:
+        moves.step(side, message)
+    assert told.value.code == code
+
+
+def test_hello_comes_first_and_names_a_version_that_is_spoken():
+    with pytest.raises(IllegalMove, match="before hello"):
+        leg_moves().step(ASK, m.Probe(id=1))
+    with pytest.raises(IllegalMove, match="version 9"):
+        leg_moves().step(ASK, m.Hello(version=9, role="node"))
+
+
+def test_ids_that_are_over_are_forgotten():
+    moves = opened(leg_moves())
+    for number in range(1, 500):
+        moves.step(ASK, m.LegSent(id=number, mark="x", product="p", volume=1))
+        moves.step(ANSWER, m.Done(id=number))
+    assert not moves.standing
+
+
+def test_a_list_server_tells_lists_only_to_those_who_follow():
+    moves = opened(ListMoves())
+    with pytest.raises(IllegalMove, match="nobody asked"):
+        moves.step(ANSWER, m.NodeList(kind="full", epoch=1))
+    moves.step(ASK, m.Follow())
+    moves.step(ANSWER, m.NodeList(kind="full", epoch=1))
+    with pytest.raises(IllegalMove, match="no place"):
+        moves.step(ASK, asked(1))
+
+
+def test_every_message_has_a_name_of_its_own():
+    names = [each.__struct_config__.tag for each in m.Any.__args__]
+    assert len(set(names)) == len(names) and all(issubclass(each, msgspec.Struct) for each in m.Any.__args__)
