Logs are written aside, so a log that nobody reads never stops the gateway

A thousand clients with nobody reading standard error showed a gateway that stood still for good: its log filled the pipe and the next line blocked the event loop in the middle of a job. Log lines now go through a thread with a bounded queue; what does not fit is dropped and counted.

--- a/ochrecourse/cli/logs.py
+++ b/ochrecourse/cli/logs.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import queue
 import sys
-from typing import Any
+import threading
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -16,8 +19,8 @@
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
 
-def set_up(form: str, level: str) -> Any:
-    """A logger that writes to standard error. `form`: json, console, or auto (console where people look)."""
+def set_up(form: str, level: str, file: Aside) -> Any:
+    """A logger that writes to `file`. `form`: json, console, or auto (console where people look)."""
     console = form == "console" or (form == "auto" and sys.stderr.isatty())
     renderer: Any = structlog.dev.ConsoleRenderer() if console else structlog.processors.JSONRenderer()
     structlog.configure(
@@ -27,11 +30,49 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, file)),,
     )
     return structlog.get_logger()
 
 
+class Aside:
+    """A file written by a thread of its own. Lines that do not fit its queue are dropped and counted.
+
+    Guards against a reader of the log that stands still: a full pipe would stop the gateway in the middle of
+    a job.
+    """
+
+    def __init__(self, file: TextIO, most: int = 10_000) -> None:
+        self.file = file
+        self.lines: queue.Queue[str | None] = queue.Queue(most)
+        self.dropped = 0
+        self.thread = threading.Thread(target=self._write, daemon=True)
+        self.thread.start()
+
+    def write(self, text: str) -> None:
+        try:
+            self.lines.put_nowait(text)
+        except queue.Full:
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """The thread flushes after each line."""
+
+    def close(self, patience: float = 1.0) -> None:
+        """Writes what is queued, for so many seconds at the most."""
+        with contextlib.suppress(queue.Full):
+            self.lines.put_nowait(None)
+        self.thread.join(patience)
+
+    def _write(self) -> None:
+        while (text := self.lines.get()) is not None:
+            try:
+                self.file.write(text)
+                self.file.flush()
+            except OSError:
+                self.dropped += 1  # nobody reads the log any more; the gateway serves on
+
+
 class JobLog:
     """Writes one line a job that is over; what did not go well is never left out unless the log itself is
     flooded.
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -29,13 +29,16 @@
     from twisted.internet.error import CannotListenError
 
     from ochrecourse.cli.admin import admin_site
-    from ochrecourse.cli.logs import LEVELS, JobLog, set_up
+    from ochrecourse.cli.logs import LEVELS, Aside, JobLog, set_up
     from ochrecourse.gateway.daemon import Daemon
     from ochrecourse.gateway.sampling import Sampling
     from ochrecourse.settings.load import Refused, address, load
 
     settings: Any = record
-    log = set_up(settings["log"]["form"], settings["log"]["level"]).bind(gateway=settings["gateway"]["name"])
+    aside = Aside(sys.stderr)
+    log = set_up(settings["log"]["form"], settings["log"]["level"], aside).bind(
+        gateway=settings["gateway"]["name"]
+    )
     sampling = Sampling(settings["log"]["sample"])
     files = raise_files()
     daemon = Daemon(settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop)
@@ -78,4 +81,5 @@
     sys.stdout.flush()
     log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
     reactor.run(installSignalHandlers=False)
-    log.info("left", jobs=daemon.gateway.ledger.taken)
+    log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
+    aside.close()
--- a/ochrecourse/nodes/client.py
+++ b/ochrecourse/nodes/client.py
@@ -45,7 +45,9 @@
 
 
 class LegOut:
-    """One leg on its way. `taken` bytes of its answer were handed on, `granted` were credited to the node again."""
+    """One leg on its way. `taken` bytes of its answer were handed on, `granted` were credited to the node
+    again.
+    """
 
     def __init__(
         self, number: int, job: int, node: int, message: m.LegSent, body: Body | None, taker: Taker
@@ -234,8 +236,8 @@
         stall: int,
         taker: Taker,
     ) -> LegOut:
-        """Sends a leg. `time_out`: ns from now until its answer must begin; `stall`: ns without any more of it after
-        that. Its end is told to `taker`, never before this returns.
+        """Sends a leg. `time_out`: ns from now until its answer must begin; `stall`: ns without any more of
+        it after that. Its end is told to `taker`, never before this returns.
         """
         self.count += 1
         leg = LegOut(self.count, job, node, message, body, taker)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,216 @@
+"""The auditor catches a gateway that breaks a rule, each in its own way, and is silent on a right one."""
+
+import msgspec
+import pytest
+
+from ochrecourse.audit import records as r
+from ochrecourse.audit.judge import RULES, Figures, ProductRule, audit
+from ochrecourse.decide import Host
+from ochrecourse.interface import Ending, Health, Leg, ListKind, NodeEntry, Verdict
+from ochrecourse.lab.baselines import Textbook
+from ochrecourse.lab.day import Day, Habits, RuleFigures, Trouble
+from ochrecourse.lab.days import KINDS, PLANS, PRODUCTS, one_trouble, quiet
+from ochrecourse.lab.figures import figures_of
+from ochrecourse.lab.play import VirtualPlay
+
+SECOND, MS = 1_000_000_000, 1_000_000
+
+
+def small(kind=None, **changes):
+    """A short day, with one trouble if one is named."""
+    troubles = [Trouble(kind=kind, at_s=0.5, len_s=3.0, part=0.6, size=1.0)] if kind else []
+    day = Day(
+        name="small", length_s=4.0, gateways=2, nodes=4, load=0.4, products=PRODUCTS, plans=PLANS, kinds=tuple(KINDS),
+        habits=Habits(retries=0), troubles=troubles, rules=RuleFigures(budget_share=0.25, drain_grace_ms=1000),
+    )  # fmt: skip
+    return msgspec.structs.replace(day, **changes)
+
+
+def broken_rules(day, decisions=Host):
+    verdict = audit(figures_of(day), VirtualPlay(day, decisions).run().records)
+    return [number for number, each in enumerate(verdict.findings, 1) if each.breaches], verdict
+
+
+class Forgetful(Host):
+    """Forgets to answer one job in forty."""
+
+    def decide(self, now):
+        said = super().decide(now)
+        while isinstance(said, Verdict) and said.job % 5 == 0:
+            said = super().decide(now)
+        return said
+
+
+class Repeating(Host):
+    """Sends a binding job again after a time-out."""
+
+    def __init__(self, values, seed, now):
+        super().__init__(values, seed, now)
+        self.again = []
+
+    def leg_ended(self, end, now):
+        held = self.jobs.get(end.job)
+        if end.ending is Ending.TIMEOUT and held and held.product.effect == "unsafe" and end.number == 0:
+            self.again.append(Leg(end.job, 1, end.node, 0))
+        super().leg_ended(end, now)
+
+    def decide(self, now):
+        return self.again.pop() if self.again else super().decide(now)
+
+
+class Deaf(Host):
+    """Takes no notice of drains."""
+
+    def list_came(self, kind, entries, now):
+        kept = [NodeEntry(e.node, e.zone, e.shard, Health.READY, e.started) for e in entries if e.health is not Health.GONE]
+        super().list_came(ListKind.DELTA if kind is ListKind.DELTA else kind, kept, now)
+
+
+def textbook(values, seed, now):
+    return Textbook(values, seed, now, "random")
+
+
+def test_a_right_gateway_gets_no_breach_on_any_of_these_days():
+    for day in (small(), small("hang"), small("preempt"), small("mass_restart"), small("fast_errors")):
+        broken, verdict = broken_rules(day)
+        assert not broken, verdict.lines()
+
+
+@pytest.mark.parametrize(
+    ("rule", "day", "decisions"),
+    [
+        (1, small("full"), Forgetful),
+        (2, small("hang"), Repeating),
+        (3, small("preempt", troubles=[Trouble(kind="preempt", at_s=0.5, len_s=3, part=0.6, size=3.0)]), Deaf),
+        (4, small("mass_restart", load=1.5, rules=RuleFigures(multiple=1.2, fall_ms=500)), textbook),
+        (5, small(runs=9.0), textbook),
+        (6, small("fast_errors"), textbook),
+        (7, small(load=1.2, plans=[msgspec.structs.replace(plan, limit=0.3) for plan in PLANS], most_units=2), textbook),
+    ],
+)
+def test_each_rule_is_broken_by_its_own_broken_gateway(rule, day, decisions):
+    broken, verdict = broken_rules(day, decisions)
+    assert rule in broken, verdict.lines()
+
+
+# --- records worked by hand ---
+
+FIGURES = Figures(
+    products={
+        "read": ProductRule(),
+        "mark": ProductRule(effect="keyed", group="cell", window=2 * SECOND, in_order=True),
+        "bind": ProductRule(effect="unsafe", in_order=True),
+    },
+    drain_grace=SECOND, cold_multiple=2.0, cold_fall=SECOND, settle=200 * MS, budget_floor=1, budget_share=0.5,
+    budget_window=SECOND, limits={"1": (10.0, 20.0, 2.0)}, travel=10 * MS,
+)  # fmt: skip
+
+
+def asked(t, number, product="read", key=0, timeout=SECOND):
+    return r.Asked(
+        t=t, gateway="g0", conn=1, id=number, trace=str(number), product=product, plan="p", volume=2, key=key, units=1.0,
+        timeout=timeout,
+    )  # fmt: skip
+
+
+def told(t, number, how="fulfilled"):
+    return r.Told(t=t, gateway="g0", conn=1, id=number, trace=str(number), how=how)
+
+
+def leg(t, number, job, node=70, product="read", key=0, leg_number=0, units=1.0, volume=2, work=0.0):
+    return r.LegCame(
+        t=t, node=node, gateway="g0", conn=5, id=number, mark=f"g0/1/{job}", trace=str(job), number=leg_number,
+        product=product, volume=volume, key=key, units=units, work=work,
+    )  # fmt: skip
+
+
+def over(t, number, how="done", node=70):
+    return r.LegOver(t=t, node=node, conn=5, id=number, how=how)
+
+
+def up(node, shard=0):
+    return r.NodeUp(t=0, node=node, shard=shard, zone=0, capacity=SECOND)
+
+
+END = r.Trouble(t=99 * SECOND, kind="end", what="")
+
+
+@pytest.mark.parametrize(
+    ("rule", "records", "evidence"),
+    [
+        (1, [asked(0, 1), told(5, 1), told(6, 1, "denied")], "was answered ['fulfilled', 'denied']"),
+        (1, [asked(0, 1), told(SECOND + 5 * MS, 1)], "5.0 ms after its timeout"),
+        (1, [asked(0, 1)], "never answered"),
+        (1, [asked(0, 1), r.ConnLost(t=5, gateway="g0", conn=1)], "its gateway was not killed"),
+        (1, [told(5, 8)], "which was never asked"),
+        (1, [asked(0, 1), r.Left(t=5, gateway="g0", conn=1, id=1, trace="1"), told(50 * MS, 1)], "after its client had left"),
+        (2, [leg(0, 1, 1), leg(50 * MS, 2, 1, leg_number=1), over(90 * MS, 1)], "while leg 0 was out"),
+        (2, [leg(0, 1, 1, product="bind"), over(5, 1, "failed"), leg(9, 2, 1, product="bind", leg_number=1)], "binding job"),
+        (2, [leg(0, 1, 1, product="mark"), over(5, 1, "failed"), leg(3 * SECOND, 2, 1, product="mark", leg_number=1)],
+         "after the nodes had forgotten"),
+        (2, [up(70), up(71, 1), leg(0, 1, 1, product="mark"), over(5, 1, "failed"),
+             leg(9, 2, 1, node=71, product="mark", leg_number=1)], "outside the group"),
+        (2, [asked(0, 1, "bind"), leg(1, 1, 1, product="bind"),
+             r.Effect(t=2, node=70, mark="g0/1/1", trace="1", product="bind", units=1.0), told(3, 1, "denied")],
+         "denied though it ran"),
+        (3, [r.ListTold(t=0, gateway="g0", node=70, health="draining", started=0), leg(SECOND + 20 * MS, 1, 1)],
+         "1020 ms after it heard"),
+        (4, [r.NodeUp(t=0, node=70, shard=0, zone=0, capacity=SECOND, cold_from=0.2, cold_for=9 * SECOND),
+             *(leg(i, i, i, work=0.3 * SECOND) for i in range(1, 6))], "times what it could do"),
+        (4, [r.NodeDown(t=5, node=70, fell=True)], "fell over"),
+        (5, [leg(0, 1, 1, product="bind", key=9), leg(50 * MS, 2, 2, product="bind", key=9), over(90 * MS, 1)], "was over"),
+        (5, [leg(0, 1, 1, product="bind", key=9), r.LegGivenUp(t=5, node=70, conn=5, id=1),
+             leg(100 * MS, 2, 2, product="bind", key=9)], "may run on"),
+        (5, [asked(0, 1, "bind", 9), asked(1, 2, "bind", 9), leg(5, 1, 2, product="bind", key=9), over(6, 1),
+             leg(7, 2, 1, product="bind", key=9)], "taken later"),
+        (6, [asked(0, 1), leg(0, 1, 1), *(leg(i, i, i, leg_number=1) for i in range(2, 6))], "further legs in the window"),
+        (7, [leg(i * MS, i, i, units=8.0, volume=1) for i in range(1, 5)], "past its limit"),
+    ],
+)  # fmt: skip
+def test_each_breach_is_told_with_its_evidence(rule, records, evidence):
+    verdict = audit(FIGURES, [*records, END])
+    finding = verdict.findings[rule - 1]
+    assert finding.rule == RULES[rule - 1] and any(evidence in text for text in finding.breaches), finding.breaches
+
+
+@pytest.mark.parametrize(
+    "records",
+    [
+        [asked(0, 1), told(5, 1), asked(9, 2, timeout=200 * SECOND)],  # the second is not due yet
+        [asked(0, 1), r.ConnLost(t=5, gateway="g0", conn=1), r.Killed(t=4, gateway="g0")],
+        [leg(0, 1, 1, product="mark"), over(5, 1, "failed"), leg(9, 2, 1, product="mark", leg_number=1)],
+        [leg(0, 1, 1, product="bind"), over(5, 1, "full"), leg(9, 2, 1, product="bind", leg_number=1)],
+        [r.ListTold(t=0, gateway="g0", node=70, health="draining", started=0), leg(SECOND - 1, 1, 1)],
+        [leg(0, 1, 1, product="bind", key=9), r.LegGivenUp(t=5, node=70, conn=5, id=1),
+         leg(300 * MS, 2, 2, product="bind", key=9)],
+        [leg(i * SECOND, i, i, units=8.0, volume=1) for i in range(1, 9)],
+    ],
+)  # fmt: skip
+def test_what_keeps_the_rules_is_not_told(records):
+    verdict = audit(FIGURES, [*records, END])
+    assert verdict.kept(), verdict.lines()
+
+
+def test_records_survive_a_file_and_a_cut_last_line(tmp_path):
+    path = tmp_path / "r.jsonl"
+    to_file = r.ToFile(path)
+    for each in (asked(0, 1), told(5, 1)):
+        to_file(each)
+    to_file.close()
+    path.write_bytes(path.read_bytes() + b'{"r":"told","t":')
+    assert list(r.read([path])) == [asked(0, 1), told(5, 1)]
+    path.write_bytes(b'{"r":"told"}\n' + path.read_bytes())
+    with pytest.raises(r.BadRecord, match="jsonl:1"):
+        list(r.read([path]))
+
+
+def test_the_same_day_gives_the_same_record_byte_for_byte():
+    day = small("vanish")
+    runs = [b"".join(map(r.encode, VirtualPlay(day).run().records)) for _ in range(2)]
+    assert runs[0] == runs[1] and len(runs[0]) > 100_000
+    other = b"".join(map(r.encode, VirtualPlay(msgspec.structs.replace(day, seed=2)).run().records))
+    assert other != runs[0]
+
+
+def test_quiet_days_are_quiet_and_troubles_show():
+    assert quiet().troubles == [] and one_trouble("slow").troubles[0].kind == "slow"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -122,7 +122,7 @@
 
 
 tokens = st.sampled_from(
-    list("{}[]:,|&*()\n") + ["gateway", "name", "#Usual", '"x"', "5ms", "3/s", "1.5", "-2", ">=", "true", "...", "&", "//"]
+    [*list("{}[]:,|&*()\n"), "gateway", "name", "#Usual", '"x"', "5ms", "3/s", "1.5", "-2", ">=", "true", "...", "&", "//"]
 )
 
 
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,247 @@
+"""Real processes on loopback sockets: the daemon's signals, kill -9 and restart, many clients, a day from end to end."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import urllib.request
+
+import msgspec
+import pytest
+
+from ochrecourse.lab.day import Trouble, gateway_record
+from ochrecourse.lab.days import quiet
+from ochrecourse.settings.load import write
+from ochrecourse.wire import messages as m
+
+LONG = 30  # s that anything here may take at the most; nothing is judged by it
+
+
+def ochrecourse(*words):
+    return [sys.executable, "-m", "ochrecourse", *map(str, words)]
+
+
+class Running:
+    """A process of ours; `first` is its first line."""
+
+    def __init__(self, *words):
+        self.process = subprocess.Popen(
+            ochrecourse(*words), stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        )
+        self.first = self.process.stdout.readline().decode().strip()
+        self.address = self.first.rpartition(" ")[2]
+
+    def end(self, number=signal.SIGTERM):
+        """Its exit code and what it logged."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+        _, errors = self.process.communicate(timeout=LONG)
+        return self.process.returncode, errors.decode()
+
+
+class Client:
+    """A blocking client."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.socket = socket.create_connection((host, int(port)), timeout=LONG)
+        self.data = b""
+        self.say(m.Hello(version=m.VERSION, role="client"))
+
+    def say(self, message, body=b""):
+        self.socket.sendall(m.encode(message, body))
+
+    def hear(self):
+        """The next message; None when the connection is over."""
+        while b"\r\n" not in self.data:
+            got = self.socket.recv(65_536)
+            if not got:
+                return None
+            self.data += got
+        line, _, self.data = self.data.partition(b"\r\n")
+        message = m.decode(line)
+        while len(self.data) < message.body:
+            self.data += self.socket.recv(65_536)
+        self.data = self.data[message.body :]
+        return message
+
+    def ask(self, number, product="page-read", **more):
+        told = {"plan": "open", "volume": 1, "timeout_ms": 5000, "shard": 0, "key": 7, **more}
+        self.say(m.JobAsked(id=number, product=product, **told))
+
+    def serve_one(self):
+        """Asks until a job is fulfilled: a gateway that has just started may not have its list yet."""
+        for number in range(1, 1000):
+            self.ask(number)
+            if isinstance(self.answer(), m.Fulfilled):
+                return
+
+    def answer(self):
+        """The next final answer."""
+        while (message := self.hear()) is not None:
+            if isinstance(message, m.Fulfilled | m.Denied | m.WrittenOff | m.Fault):
+                return message
+        return None
+
+
+@pytest.fixture
+def running():
+    """Starts processes and ends those that are left."""
+    started = []
+
+    def start(*words):
+        started.append(Running(*words))
+        return started[-1]
+
+    yield start
+    for each in started:
+        if each.process.poll() is None:
+            each.process.kill()
+            each.process.communicate(timeout=LONG)
+
+
+@pytest.fixture
+def gateway(running, tmp_path):
+    """Storage nodes, and a way to start a gateway before them; its settings file beside it."""
+    day = msgspec.structs.replace(quiet(), nodes=2, gateways=1)
+    (tmp_path / "day.json").write_bytes(msgspec.json.encode(day))
+    nodes = running("nodes", tmp_path / "day.json", "--wait")
+    path = tmp_path / "g0.cue"
+
+    def start(**changes):
+        record = gateway_record(day, 0, "127.0.0.1:0", nodes.address, str(tmp_path))
+        record["gateway"].update(changes)
+        path.write_text(write(record) + 'log: form: "json"\n')
+        return running("serve", path)
+
+    start.path, start.nodes = path, nodes
+    return start
+
+
+def test_a_day_on_sockets_with_a_killed_gateway_keeps_every_rule(tmp_path):
+    day = msgspec.structs.replace(
+        quiet(), name="short", length_s=4.0, gateways=2, nodes=4, load=0.25,
+        troubles=[
+            Trouble(kind="slow", at_s=0.5, len_s=1.5, part=0.25, size=4.0),
+            Trouble(kind="balancer_roll", at_s=1.0, len_s=0.5, part=0.5, size=0.5, extra=0.3),
+            Trouble(kind="vanish", at_s=2.0, len_s=1.0, part=0.25),
+        ],
+    )  # fmt: skip
+    (tmp_path / "day.json").write_bytes(msgspec.json.encode(day))
+    command = ochrecourse("day", "run", tmp_path / "day.json", "--json", "--keep", tmp_path / "kept")
+    ran = subprocess.run(command, capture_output=True, text=True, timeout=2 * LONG)
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    told = json.loads(ran.stdout)
+    assert told["kept"] and told["troubles"] == [] and told["endings"]["fulfilled"] > 100
+    # The judge gives the same verdict on the kept records, and another one on records with an answer taken out.
+    records = [tmp_path / "kept" / "clients.jsonl", tmp_path / "kept" / "nodes.jsonl"]
+    audit = ochrecourse("audit", *records, "--day", tmp_path / "day.json")
+    assert subprocess.run(audit, capture_output=True, timeout=LONG).returncode == 0
+    lines = records[0].read_bytes().splitlines(keepends=True)
+    gone = next(i for i, line in enumerate(lines) if b'"r":"told"' in line and b'"fulfilled"' in line)
+    records[0].write_bytes(b"".join(lines[:gone] + lines[gone + 1 :]))
+    judged = subprocess.run(audit, capture_output=True, text=True, timeout=LONG)
+    assert judged.returncode == 1 and "never answered" in judged.stdout
+
+
+def test_sigterm_answers_what_is_held_and_ends_with_0(gateway):
+    serving = gateway()
+    client = Client(serving.address)
+    client.serve_one()
+    gateway.nodes.process.stdin.write(b"hang 1.0 0 0 20\n")
+    gateway.nodes.process.stdin.flush()
+    client.ask(1001, "ledger-post", timeout_ms=1500, shard=0)
+    client.ask(1002, timeout_ms=1500)
+    serving.process.send_signal(signal.SIGTERM)
+    answers = []
+    while (answer := client.answer()) is not None:
+        answers.append(answer.id)
+    assert sorted(answers) == [1001, 1002]
+    code, log = serving.end()
+    assert code == 0 and '"event": "left"' in log
+
+
+def test_sighup_takes_over_what_may_change_and_names_the_rest(gateway):
+    serving = gateway()
+    text = gateway.path.read_text()
+    gateway.path.write_text(text.replace("travel: 40ms", "travel: 30ms") + "clients: open_jobs: 7\n")
+    serving.process.send_signal(signal.SIGHUP)
+    line = ""
+    while "settings read again" not in line:
+        line = serving.process.stderr.readline().decode()
+    told = json.loads(line)
+    assert told["in_force"] == ["clients.open_jobs: 20000 to 7"]
+    assert told["needs_restart"] == ["gateway.travel: 40.0 to 30.0"]
+    gateway.path.write_text("gateway: 5")
+    serving.process.send_signal(signal.SIGHUP)
+    while "not taken over" not in line:
+        line = serving.process.stderr.readline().decode()
+    assert serving.end()[0] == 0
+
+
+def test_after_kill_9_a_gateway_serves_from_its_kept_list_alone(gateway, running):
+    serving = gateway()
+    client = Client(serving.address)
+    client.serve_one()
+    client.ask(1001, "ledger-post", shard=1)
+    serving.process.kill()
+    assert serving.end()[0] == -signal.SIGKILL
+    gateway.path.write_text(gateway.path.read_text().replace(gateway.nodes.address, "127.0.0.1:1"))
+    again = running("serve", gateway.path)  # no list server answers at that address
+    client = Client(again.address)
+    client.serve_one()
+    assert again.end()[0] == 0
+
+
+def test_health_ready_and_metrics_pages(gateway):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    serving = gateway(admin=f"127.0.0.1:{port}")
+
+    def page(name):
+        try:
+            with urllib.request.urlopen(f"http://127.0.0.1:{port}/{name}", timeout=LONG) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as answer:
+            return answer.code, answer.read().decode()
+
+    client = Client(serving.address)
+    client.serve_one()
+    assert page("healthz") == (200, "ok\n") and page("readyz") == (200, "ready\n") and page("other")[0] == 404
+    metrics = page("metrics")[1]
+    assert 'ochrecourse_jobs_total{ending="fulfilled"} 1.0' in metrics and "ochrecourse_nodes_listed 2.0" in metrics
+
+
+def test_a_thousand_clients_within_a_moment_are_all_served(gateway):
+    serving = gateway()  # nobody reads its log meanwhile
+    Client(serving.address).serve_one()
+    clients = [Client(serving.address) for _ in range(1000)]
+    for client in clients:
+        client.ask(1, timeout_ms=20_000, units=1.0)
+    answers = [type(client.answer()) for client in clients]
+    assert len(answers) == 1000 and set(answers) <= {m.Fulfilled, m.Denied} and answers.count(m.Fulfilled) > 0
+    for client in clients:
+        client.socket.close()
+    assert serving.end()[0] == 0
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "told"),
+    [
+        (["serve", "none.cue"], 1, "none.cue:1:1: No such file"),
+        (["check", "none.cue"], 1, "No such file"),
+        (["day", "run", "nosuchday"], 2, "there is no built-in day 'nosuchday'"),
+        (["day", "from-bench", "none.json"], 2, "none.json: No such file"),
+        (["load", "quiet", "nowhere"], 2, "'nowhere' is no address"),
+        (["audit", "none.jsonl", "--day", "quiet"], 2, "does not exist"),
+        (["fly"], 2, "No such command"),
+    ],
+)
+def test_a_wrong_call_is_told_in_words_with_its_exit_code(tmp_path, words, code, told):
+    environment = {**os.environ, "PYTHONPATH": os.getcwd()}
+    ran = subprocess.run(
+        ochrecourse(*words), capture_output=True, text=True, timeout=LONG, cwd=tmp_path, env=environment
+    )
+    assert ran.returncode == code and told in ran.stdout + ran.stderr and "Traceback" not in ran.stderr
