--- /dev/null
+++ b/benchmarks/cost.py
@@ -0,0 +1,248 @@
+"""CPU time a job: the gateway against a bare relay of the same framing and bytes, and against the decisions
+alone.
+
+All ends run in one process on real loopback sockets; jobs go in windows of `OUT` outstanding. Runs alternate (relay,
+gateway, relay, gateway, ...); figures are medians and the spread between the lowest and the highest run.
+"""
+
+from __future__ import annotations
+
+import platform
+import statistics
+import time
+from typing import Any
+
+from ochrecourse.cli.steady import steady_reactor
+
+reactor = steady_reactor()
+
+from twisted.internet.protocol import ClientFactory, Factory  # noqa: E402
+
+from ochrecourse.decide import Host  # noqa: E402
+from ochrecourse.gateway.front import FrontFactory  # noqa: E402
+from ochrecourse.gateway.gateway import Gateway  # noqa: E402
+from ochrecourse.interface import Ending, Health, Job, Leg, LegEnd, ListKind, NodeEntry  # noqa: E402
+from ochrecourse.nodes.link import dialler  # noqa: E402
+from ochrecourse.settings.load import resolve  # noqa: E402
+from ochrecourse.settings.plain import plain_map  # noqa: E402
+from ochrecourse.wire import messages as m  # noqa: E402
+from ochrecourse.wire.framed import Framed  # noqa: E402
+from ochrecourse.wire.moves import Side, job_moves, leg_moves  # noqa: E402
+
+JOBS = 6000  # a run
+RUNS = 7  # of each kind
+OUT = 8  # jobs outstanding at once
+NODES = 4
+BODY = bytes(512)
+
+SETTINGS = """
+gateway: {name: "bench", gateways: 1}
+list: address: "127.0.0.1:1"
+products: [{name: "read", promised: 2s, client_timeout: 5s}]
+plans: [{name: "plan", rate: 100000/s, reserve: 100000/s}]
+"""
+
+
+class Node(Framed):
+    """Answers at once."""
+
+    def __init__(self) -> None:
+        super().__init__(reactor, Side.ANSWERING, leg_moves())
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="node"))
+
+    def took(self, message: Any, body: bytes, after: Any) -> None:
+        if isinstance(message, m.LegSent):
+            self.say(m.Done(id=message.id, size=len(BODY), shard=message.shard), BODY)
+
+
+class RelayOut(Framed):
+    """The relay's side towards the node."""
+
+    def __init__(self, relay: Relay) -> None:
+        super().__init__(reactor, Side.ASKING, leg_moves())
+        self.relay = relay
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="gateway"))
+        self.relay.outs.append(self)
+
+    def took(self, message: Any, body: bytes, after: Any) -> None:
+        if isinstance(message, m.Done):
+            self.relay.say(m.Fulfilled(id=message.id, size=message.size, shard=message.shard))
+            if body:
+                self.relay.say(m.Part(id=message.id), body)
+
+
+class Relay(Framed):
+    """The same framing and bytes as the gateway, and no decisions: each job goes on to the node of its shard."""
+
+    def __init__(self, ports: list[int]) -> None:
+        super().__init__(reactor, Side.ANSWERING, job_moves())
+        self.ports = ports
+        self.outs: list[RelayOut] = []
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="gateway"))
+        for port in self.ports:
+            factory = ClientFactory()
+            factory.noisy = False
+            factory.buildProtocol = lambda address: RelayOut(self)  # type: ignore[method-assign, assignment]
+            reactor.connectTCP("127.0.0.1", port, factory)
+
+    def took(self, message: Any, body: bytes, after: Any) -> None:
+        if isinstance(message, m.JobAsked):
+            leg = m.LegSent(
+                id=message.id, mark=str(message.id), product=message.product, volume=message.volume, key=message.key,
+                units=message.units, shard=message.shard, patience_ms=message.timeout_ms,
+            )  # fmt: skip
+            self.outs[message.shard % len(self.outs)].say(leg)
+
+
+class Asker(Framed):
+    """A client that keeps `OUT` jobs outstanding; `done` is called with the CPU time that they took."""
+
+    def __init__(self, done: Any) -> None:
+        super().__init__(reactor, Side.ASKING, job_moves())
+        self.done = done
+        self.sent = self.answered = 0
+        self.began = 0.0
+        self.warm = JOBS // 5
+        self.denied = 0
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="client"))
+        reactor.callLater(0.2, self.start)
+
+    def start(self) -> None:
+        for _ in range(OUT):
+            self.ask()
+
+    def ask(self) -> None:
+        self.sent += 1
+        if self.answered == self.warm:
+            self.began = time.process_time()
+        self.say(
+            m.JobAsked(
+                id=self.sent,
+                product="read",
+                plan="plan",
+                volume=self.sent % 40,
+                timeout_ms=5000,
+                key=self.sent % 97,
+                units=2.0,
+                shard=self.sent % NODES,
+            )
+        )
+
+    def took(self, message: Any, body: bytes, after: Any) -> None:
+        if isinstance(message, m.Hello) or (isinstance(message, m.Fulfilled) and message.size):
+            return
+        self.answered += 1
+        self.denied += isinstance(message, m.Denied)
+        if self.answered == self.warm + JOBS:
+            spent = (time.process_time() - self.began) / JOBS * 1e6
+            self.transport.loseConnection()
+            self.done(spent, self.denied)
+        elif self.sent < self.warm + JOBS:
+            self.ask()
+
+
+def factory_of(make: Any) -> Any:
+    factory = Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda address: make()  # type: ignore[method-assign, assignment]
+    return factory
+
+
+def gateway_port(ports: list[int]) -> Any:
+    gateway = Gateway(plain_map(resolve(SETTINGS, "bench")), 1, reactor, dialler(reactor), "bench")
+    entries = [NodeEntry(70 + i, 0, i, Health.READY, 0) for i in range(len(ports))]
+    where = {70 + i: ("127.0.0.1", port) for i, port in enumerate(ports)}
+    gateway.list_came(ListKind.FULL, entries, where)
+    return reactor.listenTCP(0, FrontFactory(gateway, reactor, 100), interface="127.0.0.1")
+
+
+def decisions_alone() -> float:
+    """CPU time a job of `decide.py` fed with the same jobs in the same order, one leg each, answered at once."""
+    host = Host(plain_map(resolve(SETTINGS, "bench")), 1, 0)
+    host.list_came(ListKind.FULL, [NodeEntry(70 + i, 0, i, Health.READY, 0) for i in range(NODES)], 0)
+    now, began, waiting = 0, 0.0, []
+    for number in range(1, JOBS + JOBS // 5 + 1):
+        if number == JOBS // 5:
+            began = time.process_time()
+        now += 100_000
+        host.job_came(
+            Job(number, 0, 0, number % 40, number % 97, 2.0, number % NODES, 1, now + 5_000_000_000), now
+        )
+        while (said := host.decide(now)) is not None:
+            if isinstance(said, Leg):
+                waiting.append(said)
+        while len(waiting) >= OUT or (waiting and number > JOBS):
+            leg = waiting.pop(0)
+            now += 100_000
+            end = LegEnd(leg.job, leg.number, leg.node, Ending.FULFILLED, 800_000, True, -1.0, 0, {})
+            host.leg_ended(end, now)
+            while (said := host.decide(now)) is not None:
+                if isinstance(said, Leg):
+                    waiting.append(said)
+    return (time.process_time() - began) / JOBS * 1e6
+
+
+class Bench:
+    """Runs relay and gateway in turn."""
+
+    def __init__(self) -> None:
+        self.ports = [
+            reactor.listenTCP(0, factory_of(Node), interface="127.0.0.1").getHost().port for _ in range(NODES)
+        ]
+        self.relay = reactor.listenTCP(0, factory_of(lambda: Relay(self.ports)), interface="127.0.0.1")
+        self.spent: dict[str, list[float]] = {"relay": [], "gateway": [], "decisions": []}
+        self.denied = 0
+        self.gateways: list[Any] = []
+
+    def next(self) -> None:
+        count = len(self.spent["relay"]) + len(self.spent["gateway"])
+        if count == 2 * RUNS:
+            reactor.stop()
+            return
+        if count % 2 == 0:
+            self.spent["decisions"].append(decisions_alone())
+            kind, port = "relay", self.relay.getHost().port
+        else:
+            self.gateways.append(gateway_port(self.ports))
+            kind, port = "gateway", self.gateways[-1].getHost().port
+
+        def done(spent: float, denied: int) -> None:
+            self.spent[kind].append(spent)
+            self.denied += denied
+            reactor.callLater(0.2, self.next)
+
+        factory = ClientFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda address: Asker(done)  # type: ignore[method-assign, assignment]
+        reactor.connectTCP("127.0.0.1", port, factory)
+
+
+def main() -> None:
+    bench = Bench()
+    reactor.callWhenRunning(bench.next)
+    reactor.run()
+    median = {kind: statistics.median(times) for kind, times in bench.spent.items()}
+    print(
+        f"{platform.machine()}, Python {platform.python_version()}; {RUNS} runs of {JOBS} jobs each, {OUT} out at once"
+    )
+    for kind, times in bench.spent.items():
+        print(
+            f"{kind:10} {median[kind]:7.1f} us of CPU a job (all ends; {min(times):.1f} to {max(times):.1f})"
+        )
+    adds = median["gateway"] - median["relay"] - median["decisions"]
+    print(
+        f"the gateway adds {adds:.1f} us beyond relay and decisions: {adds / median['relay']:.2f} of the relay's own cost"
+    )
+    print(f"jobs denied: {bench.denied}")
+
+
+if __name__ == "__main__":
+    main()
--- a/ochrecourse/cli/logs.py
+++ b/ochrecourse/cli/logs.py
@@ -30,7 +30,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, file)),,
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, file)),
     )
     return structlog.get_logger()
 
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -13,6 +13,7 @@
 from ochrecourse.gateway.gateway import Gateway, Observer
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import News
+from ochrecourse.nodes.link import dialler
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.settings.load import address
 from ochrecourse.settings.plain import plain_map
@@ -40,8 +41,14 @@
         own = record["gateway"]
         seed = own["seed"] or random.SystemRandom().getrandbits(63)
         self.gateway = Gateway(
-            plain_map(record), seed, network, own["name"], round(own["travel"] * MS), observers
-        )  # fmt: skip
+            plain_map(record),
+            seed,
+            network,
+            dialler(network),
+            own["name"],
+            round(own["travel"] * MS),
+            observers,
+        )
         self.front = FrontFactory(self.gateway, network, record["clients"]["connections"])
         where = address(record["list"]["address"])
         assert where is not None  # checked when the settings were read
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -1,12 +1,13 @@
 """The library: one host's decisions, fed with what happens and carried out on the nodes.
 
-    gateway = Gateway(values, seed, network, name)        # nothing global: clock, network and seed are handed
-    in gateway.list_came(ListKind.FULL, entries, addresses) gateway.take(request, asker)
-    # the asker hears exactly one answer
-
-It decides nothing about a job. Every report goes to `decide.Host`; then its decisions are pulled one by one
-until none is left; legs, answers and list calls are carried out; one timer brings it back at `next_due`.
-Several gateways can live in one process, on the real reactor or a virtual clock.
+    gateway = Gateway(values, seed, reactor, dialler(reactor), name)  # nothing global
+    gateway.list_came(ListKind.FULL, entries, addresses)
+    gateway.take(request, asker)                                      # the asker hears exactly one answer
+
+Free of I/O: the clock, the seed and what opens connections (nodes/link.py) are handed in. It decides nothing
+about a job. Every report goes to `decide.Host`; then its decisions are pulled one by one until none is left;
+legs, answers and list calls are carried out; one timer brings it back at `next_due`. Several gateways can
+live in one process, on the real reactor or a virtual clock.
 """
 
 from __future__ import annotations
@@ -19,12 +20,11 @@
 from ochrecourse.gateway.lateness import Lateness
 from ochrecourse.gateway.leaving import Leaving, Stage
 from ochrecourse.gateway.ledger import Closing, JobStory, Ledger
-from ochrecourse.gateway.spool import Spool
 from ochrecourse.interface import Answer, Decisions, Job, Leg, LegEnd, ListCall, ListKind, NodeEntry, Verdict
-from ochrecourse.nodes.client import LegOut, NodeClient
+from ochrecourse.nodes.carrier import Body, Carrier, LegOut, OpenLine
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.nodes.proof import PROVES, Seen
-from ochrecourse.outside import MS, SECOND, Network, Timer, now_ns, stop
+from ochrecourse.outside import MS, SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
 
 
@@ -42,7 +42,7 @@
     shard: int = -1
     gateways: int = 1
     trace: str = ""
-    body: Spool | None = None
+    body: Body | None = None
 
 
 class Asker(Protocol):
@@ -118,7 +118,8 @@
         self,
         values: Mapping[str, str],
         seed: int,
-        network: Network,
+        clock: Clock,
+        open_line: OpenLine,
         name: str,
         travel: int = 0,
         observers: Sequence[Observer] = (),
@@ -126,7 +127,7 @@
     ) -> None:
         """`travel`: ns that an answer takes to its client; `decisions`: what makes the host's decisions."""
         self.name = name
-        self.clock = network
+        self.clock = clock
         self.mark = (
             f"{name}/{seed & 0xFFFFFFFF:08x}"  # of this life; no other life of this name may have the seed
         )
@@ -142,8 +143,8 @@
         )
         self.addresses: dict[int, tuple[str, int]] = {}
         dial_time = _number(values, "Limits.DialTimeout", 250) / 1000
-        self.nodes = NodeClient(name, network, limits, dial_time, self.addresses.get)
-        self.host = decisions(values, seed, now_ns(network))
+        self.nodes = Carrier(name, clock, limits, dial_time, self.addresses.get, open_line)
+        self.host = decisions(values, seed, now_ns(clock))
         self.ledger = Ledger()
         self.leaving = Leaving()
         self.lateness = Lateness()
@@ -238,7 +239,7 @@
         self._timer = None
         self.nodes.close()
 
-    # --- the nodes' side (nodes.client.Taker) ---
+    # --- the nodes' side (nodes.carrier.Taker) ---
 
     def began(self, leg: LegOut, answer: m.Done) -> None:
         task = self.tasks[leg.job]
--- a/ochrecourse/lab/play.py
+++ b/ochrecourse/lab/play.py
@@ -19,6 +19,7 @@
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import Copy
+from ochrecourse.nodes.link import dialler
 from ochrecourse.outside import Network, now_ns
 from ochrecourse.settings.plain import plain_map
 from ochrecourse.standins.fleet import Fleet
@@ -112,6 +113,7 @@
             plain_map(record),
             seed,
             play.network,
+            dialler(play.network),
             f"g{self.index}",
             travel=round(play.day.travel_ms * 1e6),
             decisions=play.decisions,
--- a/ochrecourse/nodes/client.py
+++ b/ochrecourse/nodes/carrier.py
@@ -1,25 +1,22 @@
-"""Carries legs to storage nodes and tells how each ended: sockets, dials, bodies, time-outs, cancels.
+"""Carries legs to storage nodes: which connection, what was written, time-outs, what each end proves. Free of
+I/O.
 
-What an event proves is said in proof.py, which connection a leg takes in pool.py; this module only moves
-bytes. A leg ends for the gateway exactly once. What comes for it later is dropped and counted.
+What an event proves is said in proof.py, which connection a leg takes in pool.py. Connections themselves are
+handed in: `open_line` starts a dial and each open connection is a `Wire`. A leg ends for the gateway exactly
+once; what comes for it later is dropped and counted. The clock is handed in too, for the times at which legs
+are given up.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, Protocol
-
-from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import ClientFactory
-from zope.interface import implementer
+from typing import Protocol
 
 from ochrecourse.nodes.pool import Line, Pool, PoolLimits, State
 from ochrecourse.nodes.proof import Close, Seen, Written, seen_at_close, seen_at_timeout
-from ochrecourse.outside import SECOND, Clock, Network, Timer, now_ns, stop
+from ochrecourse.outside import SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
-from ochrecourse.wire.framed import Framed
-from ochrecourse.wire.moves import Open, Side, leg_moves
 
 LINGER = (
     2.0  # s that a node has to confirm a cancel; after that its connection is closed, whatever else is on it
@@ -33,6 +30,8 @@
 
     def read(self, at: int, most: int) -> bytes: ...
 
+    def close(self) -> None: ...
+
 
 class Taker(Protocol):
     """Who waits for a leg. `began` comes before any `piece`; `ended` comes exactly once and last."""
@@ -60,7 +59,7 @@
         self.taker = taker
         self.sent_at = 0  # ns
         self.line: Line | None = None
-        self.link: Link | None = None
+        self.link: Wire | None = None
         self.id = -1  # on its connection
         self.written = 0  # bytes of the body
         self.answer: m.Done | None = None
@@ -78,127 +77,29 @@
         return Written.WHOLE if self.written >= self.message.size else Written.PART
 
 
-@implementer(IPushProducer)
-class Link(Framed):
-    """One connection to a node: sends legs, streams their bodies while the transport takes more, reads
-    answers.
-    """
+class Wire(Protocol):
+    """An open connection to a node, as link.py makes it."""
 
-    def __init__(self, client: NodeClient, line: Line) -> None:
-        super().__init__(client.clock, Side.ASKING, leg_moves())
-        self.client = client
-        self.line = line
-        self.legs: dict[int, LegOut] = {}
-        self.given_up: dict[int, Timer] = {}  # cancelled, not yet confirmed
-        self.count = 0
-        self.sending: list[LegOut] = []  # with bytes still to go, served in turn
-        self.blocked = False
-        self.met = False
+    line: Line
+    met: bool
 
-    def ready(self) -> None:
-        self.transport.registerProducer(self, True)
-        self.say(m.Hello(version=m.VERSION, role="gateway", name=self.client.name))
+    def send(self, leg: LegOut) -> None: ...
 
-    def send(self, leg: LegOut) -> None:
-        self.count += 1
-        leg.id, leg.link = self.count, self
-        self.legs[leg.id] = leg
-        first = leg.body.read(0, m.MAX_BODY) if leg.body and leg.message.size else b""
-        leg.message.id = leg.id
-        leg.written = len(first)
-        self.say(leg.message, first)
-        if leg.written < leg.message.size:
-            self.sending.append(leg)
-            self.pump()
-
-    def pump(self) -> None:
-        """Sends one piece of each body in turn until the transport asks to wait or all is sent."""
-        while self.sending and not self.blocked and self.up:
-            leg = self.sending.pop(0)
-            if leg.over or leg.body is None:
-                continue
-            piece = leg.body.read(leg.written, m.MAX_BODY)
-            leg.written += len(piece)
-            self.say(m.Part(id=leg.id), piece)
-            if leg.written < leg.message.size:
-                self.sending.append(leg)
-
-    def pauseProducing(self) -> None:
-        self.blocked = True
-
-    def resumeProducing(self) -> None:
-        self.blocked = False
-        self.pump()
-
-    def stopProducing(self) -> None:
-        self.blocked = True
-
-    def drop(self, leg: LegOut) -> None:
-        """The gateway no longer waits for this leg: the node is told, and has a while to confirm it."""
-        self.legs.pop(leg.id, None)
-        if leg in self.sending:
-            self.sending.remove(leg)
-        self.say(m.Cancel(id=leg.id))
-        self.given_up[leg.id] = self.clock.callLater(LINGER, self.cut)
-
-    def took(self, message: m.Any, body: bytes, after: Open | None) -> None:
-        if isinstance(message, m.Hello):
-            self.met = True
-            self.client.link_open(self)
-            return
-        if isinstance(message, m.Bye):
-            self.client.link_leaving(self)
-            return
-        if isinstance(message, m.Fault):
-            self.client.counts["faults told by nodes"] += 1
-            self.cut()
-            return
-        number: int = message.id  # type: ignore[union-attr]  # the table lets no other pass
-        over = after in (Open.CLOSED, Open.REFUSED)
-        if number in self.given_up:
-            if not isinstance(message, m.Cancelled):
-                self.client.counts["late answers dropped"] += 1
-            if over:
-                stop(self.given_up.pop(number))
-                self.client.link_freed(self, number)
-            return
-        leg = self.legs[number]
-        if over:
-            del self.legs[number]
-        if after is Open.REFUSED:
-            if leg in self.sending:
-                self.sending.remove(leg)
-            self.say(m.Cancel(id=number))  # the rest of its body need not be sent
-        self.client.answered(self, leg, message, body, over)
-
-    def closed(self, half: bool) -> None:
-        for timer in self.given_up.values():
-            stop(timer)
-        self.given_up.clear()
-        how = Close.GARBLED if self.ended_by else Close.HALF_HEADER if half else Close.BETWEEN
-        legs, self.legs = self.legs, {}
-        self.client.link_closed(self, list(legs.values()), how)
+    def drop(self, leg: LegOut) -> None: ...
 
+    def holds(self, leg: LegOut) -> bool: ...
 
-class _Dial(ClientFactory):
-    """One dial, bounded in time; its end is told once."""
+    def credit(self, leg: LegOut, size: int) -> None: ...
 
-    noisy = False
+    def bye(self) -> None: ...
 
-    def __init__(self, client: NodeClient, line: Line) -> None:
-        self.client = client
-        self.line = line
+    def cut(self) -> None: ...
 
-    def buildProtocol(self, addr: Any) -> Link:
-        link = Link(self.client, self.line)
-        self.client.links[self.line.number] = link
-        return link
 
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.client.dial_failed(self.line, Seen.REFUSED)
+OpenLine = Callable[["Carrier", Line, tuple[str, int]], None]  # starts a dial; its end is told to the carrier
 
 
-class NodeClient:
+class Carrier:
     """All connections of one gateway to its nodes.
 
     `limits` and `dial_time` (s) come from the settings; `address_of` gives the host and port of a node, or
@@ -208,18 +109,19 @@
     def __init__(
         self,
         name: str,
-        clock: Network,
+        clock: Clock,
         limits: PoolLimits,
         dial_time: float,
         address_of: Callable[[int], tuple[str, int] | None],
+        open_line: OpenLine,
     ) -> None:
         self.name = name
-        self.clock: Clock = clock
-        self.network = clock
+        self.clock = clock
+        self.open_line = open_line
         self.pool = Pool(limits)
         self.dial_time = dial_time
         self.address_of = address_of
-        self.links: dict[int, Link] = {}  # by the number of their line
+        self.links: dict[int, Wire] = {}  # by the number of their line
         self.dials: dict[int, Timer] = {}
         self.out: dict[int, LegOut] = {}
         self.count = 0
@@ -269,9 +171,9 @@
         """The taker has room for so many more bytes of a long answer."""
         leg.taken += size
         due = leg.taken - leg.granted
-        if due >= m.MAX_BODY and not leg.over and leg.link is not None and leg.id in leg.link.legs:
+        if due >= m.MAX_BODY and not leg.over and leg.link is not None and leg.link.holds(leg):
             leg.granted += due
-            leg.link.say(m.Credit(id=leg.id, bytes=due))
+            leg.link.credit(leg, due)
 
     def close(self) -> None:
         """Closes every connection; legs that are out end as reset or never sent."""
@@ -288,7 +190,7 @@
 
     # --- what the connections tell ---
 
-    def link_open(self, link: Link) -> None:
+    def link_open(self, link: Wire) -> None:
         timer = self.dials.pop(link.line.number, None)
         if timer is None:
             return
@@ -298,14 +200,14 @@
         self._dial()
         self._watch_idle()
 
-    def link_leaving(self, link: Link) -> None:
+    def link_leaving(self, link: Wire) -> None:
         if link.line.state is State.OPEN and self.pool.leaving(link.line):
-            self._say_bye(link)
+            link.bye()
 
-    def link_freed(self, link: Link, number: int) -> None:
+    def link_freed(self, link: Wire, number: int) -> None:
         self._free(link.line, -1)
 
-    def link_closed(self, link: Link, legs: list[LegOut], how: Close) -> None:
+    def link_closed(self, link: Wire, legs: list[LegOut], how: Close) -> None:
         self.links.pop(link.line.number, None)
         if how is Close.GARBLED:
             self.counts["nodes that broke the protocol"] += 1
@@ -331,7 +233,7 @@
             self._end(self.out[number], seen, None)
         self._dial()
 
-    def answered(self, link: Link, leg: LegOut, message: m.Any, body: bytes, over: bool) -> None:
+    def answered(self, link: Wire, leg: LegOut, message: m.Any, body: bytes, over: bool) -> None:
         """A message for a leg that is still waited for; `over`: it was the last one."""
         if isinstance(message, m.Done):
             leg.answer = message
@@ -363,7 +265,7 @@
             if address is None:
                 self.dial_failed(line, Seen.UNLISTED)
             else:
-                self.network.connectTCP(address[0], address[1], _Dial(self, line), timeout=self.dial_time + 1)
+                self.open_line(self, line, address)
 
     def _timed_out(self, leg: LegOut) -> None:
         """An answer that has begun is given up only when nothing more of it came for a while."""
@@ -376,7 +278,7 @@
 
     def _abandon(self, leg: LegOut, seen: Seen) -> None:
         link, line = leg.link, leg.line
-        if link is not None and leg.id in link.legs:
+        if link is not None and link.holds(leg):
             leg.over = True  # before the cancel goes out, so that nothing of it is sent on
             link.drop(leg)
             leg.line = None  # its place on the connection is free when the node confirms
@@ -400,15 +302,9 @@
         if self.pool.leg_over(line, number, now_ns(self.clock)):
             link = self.links.get(line.number)
             if link is not None:
-                self._say_bye(link)
+                link.bye()
         self._watch_idle()
 
-    def _say_bye(self, link: Link) -> None:
-        if link.up:
-            link.say(m.Bye(reason="idle"))
-            link.transport.loseConnection()
-            self.clock.callLater(LINGER, link.cut)
-
     def _watch_idle(self) -> None:
         due = self.pool.next_due()
         if due is not None and self._idle is None:
@@ -421,5 +317,5 @@
         while (line := self.pool.next_idle(now_ns(self.clock))) is not None:
             link = self.links.get(line.number)
             if link is not None:
-                self._say_bye(link)
+                link.bye()
         self._watch_idle()
--- a/ochrecourse/wire/moves.py
+++ b/ochrecourse/wire/moves.py
@@ -11,7 +11,8 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
+from enum import IntEnum
+from typing import Any
 
 from ochrecourse.wire import messages as m
 
@@ -24,23 +25,23 @@
         self.code = code
 
 
-class Side(Enum):
+class Side(IntEnum):
     """Who sent a message."""
 
-    ASKING = "asking"
-    ANSWERING = "answering"
+    ASKING = 0
+    ANSWERING = 1
 
 
-class Open(Enum):
+class Open(IntEnum):
     """Where one id stands."""
 
-    ASKED = "asked"  # opened, its body still coming
-    WHOLE = "whole"  # opened, its body complete
-    LEFT = "left"  # the asking side stopped waiting; its closing message may be on the way
-    ANSWERING = "answering"  # the answer began, its body still coming
-    LEFT_ANSWERING = "left answering"  # the same, after the asking side stopped waiting
-    REFUSED = "refused"  # answered for good while its body was still coming; the rest is dropped
-    CLOSED = "closed"
+    ASKED = 0  # opened, its body still coming
+    WHOLE = 1  # opened, its body complete
+    LEFT = 2  # the asking side stopped waiting; its closing message may be on the way
+    ANSWERING = 3  # the answer began, its body still coming
+    LEFT_ANSWERING = 4  # the same, after the asking side stopped waiting
+    REFUSED = 5  # answered for good while its body was still coming; the rest is dropped
+    CLOSED = 6
 
 
 Move = tuple[Open, Side, type[m.Message]]
@@ -85,6 +86,7 @@
 }  # between a client and a gateway
 
 
+APART = frozenset((m.Hello, m.Bye, m.Fault))  # messages that may be about the connection itself
 CROSSING = (m.Leave, m.Cancel, m.Credit)  # what the asking side may send before it has seen the answer
 
 
@@ -106,13 +108,17 @@
         self.standing: dict[int, Standing] = {}
         self.highest = -1
         self.greeted: set[Side] = set()
+        self.both = False  # both sides have said hello
         self.leaving: set[Side] = set()
 
-    def step(self, side: Side, message: m.Any) -> Open | None:
+    def step(self, side: Side, message: Any) -> Open | None:
         """Takes one message. Returns the state of its id after it, or None if it names none. Raises
         IllegalMove.
         """
-        if isinstance(message, m.Hello):
+        kind = type(message)
+        if self.both and kind not in APART:  # nearly all messages
+            return self._open(side, message) if kind in self.opens else self._step(side, message)
+        if kind is m.Hello:
             if side in self.greeted:
                 raise IllegalMove("second_hello", "hello came twice")
             if message.version != m.VERSION:
@@ -120,19 +126,18 @@
                     "version", f"speaks version {message.version}, this side version {m.VERSION}"
                 )
             self.greeted.add(side)
+            self.both = len(self.greeted) == len(Side)
             return None
         if side not in self.greeted:
             raise IllegalMove("no_hello", f"{_name(message)} came before hello")
-        if isinstance(message, m.Bye):
+        if kind is m.Bye:
             self.leaving.add(side)
             return None
-        if isinstance(message, m.Fault) and message.id < 0:
+        if kind is m.Fault and message.id < 0:
             return None
-        if isinstance(message, self.opens):
-            return self._open(side, message)
-        return self._step(side, message)
+        return self._open(side, message) if kind in self.opens else self._step(side, message)
 
-    def _open(self, side: Side, message: m.Any) -> Open:
+    def _open(self, side: Side, message: Any) -> Open:
         number = getattr(message, "id", -1)
         if side is not Side.ASKING:
             raise IllegalMove("wrong_side", f"{_name(message)} may not come from the answering side")
@@ -148,7 +153,7 @@
         self.standing[number] = Standing(state, left)
         return state
 
-    def _step(self, side: Side, message: m.Any) -> Open | None:
+    def _step(self, side: Side, message: Any) -> Open | None:
         number: int = getattr(message, "id", -1)
         at = self.standing.get(number)
         if at is None:
@@ -161,7 +166,10 @@
             )
         after = self.table.get((at.state, side, type(message)))
         if after is None:
-            raise IllegalMove("illegal", f"{_name(message)} for {number}, which is {at.state.value}")
+            raise IllegalMove(
+                "illegal",
+                f"{_name(message)} for {number}, which is {at.state.name.lower().replace('_', ' ')}",
+            )
         if after in (Open.ANSWERING, Open.LEFT_ANSWERING) and side is Side.ANSWERING:
             if at.state not in (Open.ANSWERING, Open.LEFT_ANSWERING):
                 at.answer_left = getattr(message, "size", 0)
@@ -193,7 +201,7 @@
     return Moves(JOB_MOVES, (m.JobAsked,))
 
 
-def _name(message: m.Any) -> str:
+def _name(message: Any) -> str:
     return str(type(message).__struct_config__.tag)
 
 
@@ -206,7 +214,7 @@
         super().__init__({}, ())
         self.followed = False
 
-    def step(self, side: Side, message: m.Any) -> Open | None:
+    def step(self, side: Side, message: Any) -> Open | None:
         if isinstance(message, m.Follow) and side is Side.ASKING and side in self.greeted:
             self.followed = True
             return None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.interface import Ending, Health, Job, LegEnd, ListKind, NodeEntry
 from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.nodes.link import dialler
 from ochrecourse.wire import messages as m
 
 VALUES = {
@@ -162,7 +163,8 @@
         values = {**VALUES, **names, **plans, "FamilyInfo.Writes": "false,true,true"}
         values.update({name.replace("__", "."): value for name, value in changes.items()})
         self.stories = []
-        self.gateway = Gateway(values, 7, self.network, "g0", travel=20 * MS, observers=[self])
+        dial = dialler(self.network)
+        self.gateway = Gateway(values, 7, self.network, dial, "g0", travel=20 * MS, observers=[self])
         self.front = FrontFactory(self.gateway, self.network, 8)
         self.port = self.network.listenTCP(0, self.front).getHost().port
         self.nodes = [ScriptedNode(self.network, script) for script in scripts]
