--- /dev/null
+++ b/ochrecourse/bgp/__init__.py
@@ -0,0 +1,1 @@
+"""A BGP speaker that only announces: service addresses, exactly while their gateway is fit to serve."""
--- /dev/null
+++ b/ochrecourse/cli/control.py
@@ -0,0 +1,121 @@
+"""The control socket of a daemon (a Unix socket that only its owner may use), and the commands that speak to
+it.
+
+One JSON object a line each way: `{"do": "show"}` is answered with the report, `drain` and `undrain` with what
+was done.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+
+def serve_control(reactor: Any, path: str, daemon: Any) -> None:
+    """Listens on a path with mode 0600. Raises CannotListenError."""
+    from twisted.internet.protocol import Factory
+    from twisted.protocols.basic import LineReceiver
+
+    class Control(LineReceiver):
+        delimiter = b"\n"
+
+        def lineReceived(self, line: bytes) -> None:
+            self.sendLine(json.dumps(answer(daemon, line)).encode())  # type: ignore[no-untyped-call]
+
+    Path(path).unlink(missing_ok=True)  # left behind by a kill
+    factory = Factory.forProtocol(Control)
+    factory.noisy = False
+    reactor.listenUNIX(path, factory, mode=0o600)
+
+
+def answer(daemon: Any, line: bytes) -> dict[str, Any]:
+    """What a line asks for."""
+    try:
+        asked = json.loads(line)
+        do = asked["do"]
+    except (ValueError, TypeError, KeyError):
+        return {"error": 'a line is {"do": "show"}, drain or undrain'}
+    if daemon.speaker is None:
+        return {"error": "this gateway's settings have no part bgp"}
+    if do == "show":
+        report: dict[str, Any] = daemon.speaker.report()
+        return report
+    if do == "drain":
+        return {"done": daemon.speaker.begin_drain(), "stage": daemon.speaker.drain.stage.name.lower()}
+    if do == "undrain":
+        return {"done": daemon.speaker.undo_drain(), "stage": daemon.speaker.drain.stage.name.lower()}
+    return {"error": f"nothing is done for {do!r}; there are show, drain and undrain"}
+
+
+def ask(path: Path, do: str) -> dict[str, Any]:
+    """Asks a daemon; what goes wrong goes to standard error and ends the command with 2."""
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as end:
+            end.settimeout(5)
+            end.connect(str(path))
+            end.sendall(json.dumps({"do": do}).encode() + b"\n")
+            data = b""
+            while not data.endswith(b"\n"):
+                got = end.recv(65_536)
+                if not got:
+                    break
+                data += got
+        told: dict[str, Any] = json.loads(data)
+    except (OSError, ValueError) as trouble:
+        click.echo(f"{path}: no gateway answers there: {trouble}", err=True)
+        sys.exit(2)
+    if "error" in told:
+        click.echo(told["error"], err=True)
+        sys.exit(2)
+    return told
+
+
+@click.group()
+def bgp() -> None:
+    """Show, drain and undrain the service addresses of a running gateway.
+
+    SOCKET is its `gateway.control`.
+    """
+
+
+@bgp.command()
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="The whole report as JSON.")
+def show(control: Path, as_json: bool) -> None:
+    """Peers, addresses, and why each stands as it does."""
+    told = ask(control, "show")
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return
+    click.echo(f"drain      {told['drain']}")
+    for each in told["addresses"]:
+        why, standing = ", ".join(each["reasons"]), f"{each['standing']} for {each['for_s']} s"
+        click.echo(f"address    {each['network']}: {standing} ({why}); {each['changes']} changes")
+    for each in told["peers"]:
+        last = f"; last: {each['last']}" if each["last"] else ""
+        routes = ", ".join(each["told"]) or "nothing"
+        click.echo(f"peer       {each['name']}: {each['state']} for {each['since_s']} s, told {routes}{last}")
+
+
+@bgp.command()
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+def drain(control: Path) -> None:
+    """Last choice, withdraw, finish what is held, leave."""
+    _did(ask(control, "drain"))
+
+
+@bgp.command()
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+def undrain(control: Path) -> None:
+    """Take a drain back, as long as jobs are still taken."""
+    _did(ask(control, "undrain"))
+
+
+def _did(told: dict[str, Any]) -> None:
+    click.echo(f"{'done' if told['done'] else 'nothing was done'}: {told['stage']}")
+    sys.exit(0 if told["done"] else 1)
--- a/ochrecourse/cli/main.py
+++ b/ochrecourse/cli/main.py
@@ -19,6 +19,7 @@
     "nodes": ("ochrecourse.cli.nodes:nodes", "Run all storage nodes and the list server of a day."),
     "load": ("ochrecourse.cli.load:load", "Send a day's jobs to running gateways."),
     "day": ("ochrecourse.cli.day:day", "List, run and convert scripted days."),
+    "bgp": ("ochrecourse.cli.control:bgp", "Show, drain and undrain a running gateway's service addresses."),
     "audit": ("ochrecourse.cli.audit:audit_records", "Judge the seven rules from records."),
 }
 
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -22,13 +22,14 @@
     is held is answered in time, exit code 0. SIGHUP reads FILE again and takes over what may change.
     """
     record = read_or_exit(file)
-    from ochrecourse.cli.steady import raise_files, steady_reactor
+    from ochrecourse.cli.steady import calm_collector, raise_files, steady_reactor
 
     reactor = steady_reactor()
 
     from twisted.internet.error import CannotListenError
 
     from ochrecourse.cli.admin import admin_site
+    from ochrecourse.cli.control import serve_control
     from ochrecourse.cli.logs import LEVELS, Aside, JobLog, set_up
     from ochrecourse.gateway.daemon import Daemon
     from ochrecourse.gateway.sampling import Sampling
@@ -41,7 +42,7 @@
     )
     sampling = Sampling(settings["log"]["sample"])
     files = raise_files()
-    daemon = Daemon(settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop)
+    daemon = Daemon(settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop, log.info)
 
     def reload() -> None:
         try:
@@ -72,6 +73,8 @@
                 sys.exit(1)
             site = reactor.listenTCP(where[1], admin_site(daemon), interface=where[0])
             log.info("health page", port=site.getHost().port)
+        if settings["gateway"]["control"]:
+            serve_control(reactor, settings["gateway"]["control"], daemon)
     except CannotListenError as trouble:
         click.echo(f"ochrecourse: cannot listen: {trouble.socketError}", err=True)
         sys.exit(2)
@@ -79,6 +82,7 @@
         signal.signal(number, on_signal)
     click.echo(f"listening {host}:{port}")
     sys.stdout.flush()
+    calm_collector()
     log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
     reactor.run(installSignalHandlers=False)
     log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
--- a/ochrecourse/cli/steady.py
+++ b/ochrecourse/cli/steady.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import resource
 import sys
 import time
@@ -25,6 +26,17 @@
     return reactor
 
 
+def calm_collector() -> None:
+    """Lets the collector of cycles run seldom over what lives long.
+
+    Guards against pauses of tens of ms: jobs keep entries until their promised time, and a full collection
+    walks all of them. Reference counts free nearly everything; cycles come from closed connections only.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 50, 1000)
+
+
 def raise_files() -> int:
     """Raises the soft limit of open files to the hard one; returns it."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -9,8 +9,13 @@
 from pathlib import Path
 from typing import Any
 
+from ochrecourse.bgp.fitness import Sight, Stage
+from ochrecourse.bgp.setup import setup_of
+from ochrecourse.bgp.speaker import Speaker
+from ochrecourse.bgp.watch import Watch
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway, Observer
+from ochrecourse.interface import Health
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import News
 from ochrecourse.nodes.link import dialler
@@ -34,7 +39,9 @@
         observers: Sequence[Observer],
         warn: Callable[[str], None],
         gone: Callable[[], None],
+        told: Callable[..., None] | None = None,
     ) -> None:
+        """`gone` is called when it has left; `told` hears of what changes about service addresses."""
         self.record = record
         self.network = network
         self.gone = gone
@@ -55,23 +62,54 @@
         kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
         self.follower = Follower(own["name"], network, where, self._news, kept, seed ^ 0x5DEECE66D, warn)
         self.listening: Any = None
+        self.watch = Watch()
+        setup = setup_of(record)
+        self.speaker: Speaker | None = None
+        if setup is not None:
+            held = self.gateway.tasks
+            say = told or (lambda event, **more: None)
+            self.speaker = Speaker(network, setup, self.sight, self._leave, lambda: len(held), say, seed)
+            self.speaker.gone.append(self._gone)
 
     def start(self) -> tuple[str, int]:
         """Serves from now on; returns the address that it listens on. Raises CannotListenError."""
         host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
         self.follower.start()
         self.listening = self.network.listenTCP(port, self.front, backlog=4096, interface=host)
+        if self.speaker is not None:
+            self.speaker.start()
         at = self.listening.getHost()
         return at.host, at.port
 
     def drain(self) -> None:
-        """Nothing new is taken; when all that is held has its answer, everything is closed and `gone` is
+        """The way out. With service addresses they go first, as docs/bgp.md says; a second call skips that.
+
+        Then nothing new is taken; when all that is held has its answer, everything is closed and `gone` is
         called.
         """
-        if self.gateway.leaving.takes():
-            self.front.say_bye()
-            self.gateway.left.append(self._left)
-            self.gateway.drain()
+        if self.speaker is None or not self.speaker.begin_drain():
+            self._leave()
+
+    def sight(self) -> Sight:
+        """What this gateway sees of itself now."""
+        gateway, now = self.gateway, now_ns(self.network)
+        ready = [node for node, entry in gateway.entries.items() if entry.health is Health.READY]
+        jobs, written_off = self.watch.look(gateway.ledger.closings, now)
+        age = self.follower.view.age(now)
+        return Sight(
+            listening=self.listening is not None,
+            draining=not gateway.leaving.takes(),
+            loop_late=gateway.lateness.worst_since(now - 2 * SECOND),
+            has_list=bool(gateway.entries),
+            # A list that is followed is as fresh as its connection, however long ago it last changed.
+            list_age=0 if self.follower.line is not None else age or 0,
+            list_fresh=age is not None,
+            nodes_ready=len(ready),
+            nodes_reached=gateway.reach.reached(ready),
+            jobs=jobs,
+            written_off=written_off,
+            open_share=gateway.ledger.open / gateway.max_open,
+        )
 
     def ready(self) -> tuple[bool, str]:
         """Whether new jobs are of any use here, and why not."""
@@ -127,6 +165,12 @@
             told[f'jobs_total{{ending="{closing.value}"}}'] = count
         for ending, count in gateway.ledger.endings.items():
             told[f'leg_endings_total{{ending="{ending.value}"}}'] = count
+        if self.speaker is not None:
+            for held in self.speaker.peers:
+                told[f'bgp_peer_state{{peer="{held.setup.figures.name}"}}'] = int(held.peer.state)
+            for each in self.speaker.addresses:
+                told[f'bgp_standing{{network="{each.setup.network}"}}'] = int(each.fitness.standing)
+                told[f'bgp_changes_total{{network="{each.setup.network}"}}'] = each.fitness.changes
         for source in (gateway.nodes.counts, self.front.counts, self.follower.counts):
             for what, count in source.items():
                 told[f'events_total{{what="{what}"}}'] = count
@@ -135,11 +179,25 @@
     def _news(self, news: News) -> None:
         self.gateway.list_came(news.kind, news.entries, news.addresses)
 
+    def _leave(self) -> None:
+        if self.gateway.leaving.takes():
+            self.front.say_bye()
+            self.gateway.left.append(self._left)
+            self.gateway.drain()
+
     def _left(self) -> None:
         self.listening.stopListening()
+        self.listening = None
         self.follower.stop()
-        self.front.close()
-        self.network.callLater(LAST_WORDS, self.gone)
+        if self.speaker is None or self.speaker.drain.stage is Stage.SERVING:
+            self._gone()
+        else:
+            self.speaker.look()  # it ends its sessions, then calls `_gone`
+
+    def _gone(self) -> None:
+        """Jobs that were on their way when clients were told are still denied; then the connections close."""
+        self.network.callLater(LAST_WORDS, self.front.close)
+        self.network.callLater(2 * LAST_WORDS, self.gone)
 
 
 def changes(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -24,6 +24,7 @@
 from ochrecourse.nodes.carrier import Body, Carrier, LegOut, OpenLine
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.nodes.proof import PROVES, Seen
+from ochrecourse.nodes.reach import Reach
 from ochrecourse.outside import MS, SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
 
@@ -153,6 +154,7 @@
         self.follow: Callable[[], None] | None = None
         self.left: list[Callable[[], None]] = []  # called when the gateway has left
         self.entries: dict[int, NodeEntry] = {}
+        self.reach = Reach()
         self.denied_at_door = 0
         self._count = 0
         self._pulling = False
@@ -264,6 +266,7 @@
         proof = PROVES[seen]
         now = now_ns(self.clock)
         story, _ = self.ledger.ended(job, leg.message.number, proof.ending, seen.value, now)
+        self.reach.ended(leg.node, proof.ending)
         task.leg = None
         if task.answer_left and seen is not Seen.DONE:
             task.answer_left = 0
--- a/ochrecourse/settings/load.py
+++ b/ochrecourse/settings/load.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from ochrecourse.bgp.setup import mistakes as bgp_mistakes
 from ochrecourse.settings.syntax import BadSettings, Place, Struct, parse
 from ochrecourse.settings.unify import Resolver
 
@@ -18,6 +19,8 @@
     (
         "promised", "client_timeout", "repeat_window", "travel", "drain_grace", "cold_time", "cold_fall",
         "order_rest", "window", "longest_advice", "dial_timeout", "idle", "period",
+        "hold_time", "retry", "idle_wait", "loop_late", "list_age", "lasts", "rest", "longest_rest", "ease",
+        "last_choice", "withdrawn", "unread",
     )
 )  # fmt: skip
 RATES = frozenset(["rate", "reserve", "limit", "sample"])
@@ -97,6 +100,8 @@
                     where, f"plans[{i}].limit_burst must hold a largest job of every gateway: {least:g} units"
                 )
             )
+    for path, text in bgp_mistakes(record):
+        told.append(BadSettings(places.get(path, start), f"{path} {text}"))
     if record["gateway"]["number"] >= record["gateway"]["gateways"]:
         told.append(
             BadSettings(places.get("gateway.number", start), "gateway.number counts from 0 to gateways - 1")
--- a/ochrecourse/settings/schema.cue
+++ b/ochrecourse/settings/schema.cue
@@ -24,6 +24,30 @@
 	limit_slack: *0 | (number & >=0)          // units
 }
 
+#Peer: {
+	name:         string
+	address:      string                      // HOST:PORT; a peer that comes by itself is known by HOST
+	local_as:     int & >=1 & <=4294967295
+	remote_as:    int & >=1 & <=4294967295
+	hold_time:    *9s | (duration & >=0ms)    // 0s: no keepalives; else 3s at the least, in whole seconds
+	retry:        *5s | (duration & >=100ms)
+	idle_wait:    *1s | (duration & >=100ms)  // after a failure; doubled each time up to 64 times
+	dials:        *true | bool                // false: it is waited for
+	families:     *["ipv4", "ipv6"] | [...("ipv4" | "ipv6")]
+	ttl_security: *false | bool
+}
+
+#Address: {
+	network:           string
+	next_hop:          string
+	med?:              int & >=0 & <=4294967295
+	last_med:          *1000 | (int & >=0 & <=4294967295) // while it is the last choice
+	local_preference:  *100 | (int & >=0 & <=4294967295)  // within one AS
+	communities:       *[] | [...string]                  // "64512:7"
+	large_communities: *[] | [...string]                  // "64512:7:9"
+	list_needed:       *true | bool                       // whether an old list makes it the last choice
+}
+
 gateway: {
 	name:     string
 	listen:   *"127.0.0.1:0" | string
@@ -34,6 +58,7 @@
 	travel:   *20ms | (duration & >=0ms & <=1s) // what an answer may take to its client
 	state:    *"" | string                    // folder for what outlives a restart; empty: nothing does
 	seed:     *0 | (int & >=0)                // of chance; 0: drawn at each start
+	control:  *"" | string                    // path of the control socket; empty: none
 }
 
 list: address: string
@@ -85,6 +110,29 @@
 	dials:        *16 | (int & >=1 & <=1024)
 }
 
+bgp?: {
+	identifier: string                        // an IPv4 address, of this speaker alone
+	listen:     *"" | string                  // for peers that come by themselves; empty: none may
+	peers:      [...#Peer]
+	addresses:  [...#Address]
+	fitness: {
+		loop_late:    *500ms | (duration & >0ms)
+		list_age:     *1min | (duration & >=0ms) // 0s: any age will do
+		nodes_share:  *0.5 | (number & >=0 & <=1)
+		failed_share: *0.5 | (number & >=0 & <=1)
+		room:         *0.95 | (number & >0 & <=1)
+		lasts:        *2s | (duration & >=0ms)
+		rest:         *3s | (duration & >=0ms)
+		longest_rest: *5min | (duration & >=0ms)
+		ease:         *10min | (duration & >0ms)
+	}
+	drain: {
+		last_choice: *5s | (duration & >=0ms) // announced as the last choice before it is withdrawn
+		withdrawn:   *2s | (duration & >=0ms) // for the peers to act on it
+		unread:      *10s | (duration & >=0ms) // the longest wait for a peer that does not read
+	}
+}
+
 meter: {
 	period:    *0ms | (duration & >=0ms)
 	elsewhere: *false | bool
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -142,3 +142,38 @@
         resolve(GOOD[:at] + put + GOOD[at + length :], "g.cue")
     except Refused as refused:
         assert all(line.startswith("g.cue:") for line in str(refused).split("\n") if line[:1] == "g")
+
+
+SPEAKER = GOOD + """
+bgp: {
+	identifier: "10.0.0.5"
+	peers: [{name: "p", address: "127.0.0.1:179", local_as: 64512, remote_as: 64600}]
+	addresses: [{network: "192.0.2.10/32", next_hop: "192.0.2.1", communities: ["64512:7"]}]
+}
+"""
+
+
+def test_a_speakers_settings_resolve_with_defaults_and_are_written_the_same():
+    record = resolve(SPEAKER, "g.cue")
+    assert record["bgp"]["peers"][0]["hold_time"] == 9000.0 and record["bgp"]["fitness"]["rest"] == 3000.0
+    assert resolve(write(record), "again.cue") == record and "bgp" not in resolve(GOOD, "g.cue")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("192.0.2.10/32", "192.0.2.10/31/3", "bgp.addresses[0].network is no prefix"),
+        ('"192.0.2.1"', '"2001:db8::1"', "next_hop is not of the network's address family"),
+        ("64512:7", "64512:x", "communities holds '64512:x'; one is NUMBER:NUMBER"),
+        ("remote_as: 64600", "remote_as: 0", "bgp.peers[0].remote_as is 0; it must be >=1"),
+        ("remote_as: 64600", "remote_as: 64600, hold_time: 2s", "must be 0s, or whole seconds from 3s"),
+        ("remote_as: 64600", "remote_as: 64600, dials: false", "bgp.listen is empty: the two can never meet"),
+        ("10.0.0.5", "0.0.0.0", "bgp.identifier is no IPv4 address above 0.0.0.0"),
+        ("127.0.0.1:179", "127.0.0.1", "bgp.peers[0].address is no HOST:PORT"),
+    ],
+)
+def test_each_mistake_of_a_speakers_settings_is_told(old, new, told):
+    assert old in SPEAKER
+    with pytest.raises(Refused) as refused:
+        resolve(SPEAKER.replace(old, new, 1), "g.cue")
+    assert told in str(refused.value)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -245,3 +245,115 @@
         ochrecourse(*words), capture_output=True, text=True, timeout=LONG, cwd=tmp_path, env=environment
     )
     assert ran.returncode == code and told in ran.stdout + ran.stderr and "Traceback" not in ran.stderr
+
+
+class RawPeer:
+    """A BGP peer over blocking sockets, a few lines that share nothing with the speaker: it keeps what it is told."""
+
+    def __init__(self):
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.door.settimeout(LONG)
+        self.port = self.door.getsockname()[1]
+        self.end = None
+
+    def meet(self):
+        """Takes the speaker's connection up to Established; the hold time is 3 s."""
+        self.end, _ = self.door.accept()
+        self.end.settimeout(LONG)
+        body = bytes.fromhex("04fc5800030a000009080206" + "010400010001")
+        self.say(1, body)
+        self.until(1)
+        self.say(4)
+        self.until(4)
+
+    def say(self, kind, body=b""):
+        self.end.sendall(b"\xff" * 16 + (19 + len(body)).to_bytes(2, "big") + bytes((kind,)) + body)
+
+    def hear(self):
+        """The next message's type and body; None at the end of the connection."""
+        head = self.exactly(19)
+        return None if head is None else (head[18], self.exactly(int.from_bytes(head[16:18], "big") - 19))
+
+    def exactly(self, size):
+        data = b""
+        while len(data) < size:
+            got = self.end.recv(size - len(data))
+            if not got:
+                return None
+            data += got
+        return data
+
+    def until(self, kind):
+        """The body of the next message of a kind; keepalives are answered meanwhile."""
+        while (told := self.hear()) is not None:
+            if told[0] == kind:
+                return told[1]
+            if told[0] == 4:
+                self.say(4)
+        raise AssertionError(f"the connection ended before a message of type {kind}")
+
+
+@pytest.fixture
+def announced(gateway, tmp_path):
+    """A gateway whose service address a peer has just been told of; the peer, the process and its control socket."""
+    peer = RawPeer()
+    (tmp_path / "g0.cue").write_text("")
+    control = tmp_path / "control"
+    serving = gateway(control=str(control))
+    assert serving.end()[0] == 0
+    gateway.path.write_text(
+        gateway.path.read_text()
+        + f"""bgp: {{
+	identifier: "10.0.0.5"
+	peers: [{{name: "p", address: "127.0.0.1:{peer.port}", local_as: 64512, remote_as: 64600, hold_time: 3s}}]
+	addresses: [{{network: "192.0.2.10/32", next_hop: "127.0.0.1"}}]
+	fitness: rest: 200ms
+	drain: {{last_choice: 100ms, withdrawn: 100ms}}
+}}
+"""
+    )
+    return peer, gateway, control
+
+
+NLRI = bytes.fromhex("20c000020a")
+
+
+def test_a_daemon_announces_when_it_serves_and_drains_in_order(announced, running):
+    peer, gateway, control = announced
+    serving = running("serve", gateway.path)
+    peer.meet()
+    assert peer.until(2).endswith(NLRI)
+    shown = subprocess.run(ochrecourse("bgp", "show", control), capture_output=True, text=True, timeout=LONG)
+    assert "192.0.2.10/32: announced" in shown.stdout and "p: established" in shown.stdout
+    assert oct(control.stat().st_mode)[-3:] == "600"
+    drained = subprocess.run(ochrecourse("bgp", "drain", control), capture_output=True, text=True, timeout=LONG)
+    assert drained.returncode == 0 and drained.stdout == "done: last_choice\n"
+    assert bytes.fromhex("ffff0000") in peer.until(2)  # graceful shutdown
+    assert peer.until(2) == bytes.fromhex("0005") + NLRI + bytes(2)
+    assert peer.until(3) == b"\6\2\7drained"
+    assert serving.end()[0] == 0
+
+
+def test_a_killed_daemon_takes_its_address_with_its_connection(announced, running):
+    peer, gateway, _ = announced
+    serving = running("serve", gateway.path)
+    peer.meet()
+    peer.until(2)
+    serving.process.kill()
+    while peer.hear() is not None:
+        pass  # the end of the connection is what a peer goes by
+
+
+def test_a_stopped_daemon_sends_no_keepalive_and_its_peers_hold_timer_acts(announced, running):
+    peer, gateway, _ = announced
+    serving = running("serve", gateway.path)
+    peer.meet()
+    peer.until(2)
+    serving.process.send_signal(signal.SIGSTOP)
+    peer.end.settimeout(4)
+    with pytest.raises(TimeoutError):  # longer than the hold time without a word: a peer withdraws by itself
+        while True:
+            peer.hear()
+    serving.process.send_signal(signal.SIGCONT)
+    peer.end.settimeout(LONG)
+    assert peer.until(3)[0] == 4  # it finds that its own hold timer expired, and says so
