Announcements judged by probes; clients may go by the table; silent nodes seen sooner

The aim is withdrawal within a second of a loss of service, so it must be measured against what clients get. The lab's gateways are now the daemon itself, with a speaker before a stand-in peer where asked; a prober asks each address ten times a second, and an auditor holds the peer's table against its answers.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import platform
 import statistics
 import time
@@ -18,6 +19,10 @@
 
 from twisted.internet.protocol import ClientFactory, Factory  # noqa: E402
 
+from ochrecourse.bgp.fitness import DrainFigures, FitnessFigures, Sight  # noqa: E402
+from ochrecourse.bgp.session import SECOND, PeerFigures  # noqa: E402
+from ochrecourse.bgp.setup import AddressSetup, PeerSetup, SpeakerSetup  # noqa: E402
+from ochrecourse.bgp.speaker import Speaker  # noqa: E402
 from ochrecourse.decide import Host  # noqa: E402
 from ochrecourse.gateway.front import FrontFactory  # noqa: E402
 from ochrecourse.gateway.gateway import Gateway  # noqa: E402
@@ -25,6 +30,7 @@
 from ochrecourse.nodes.link import dialler  # noqa: E402
 from ochrecourse.settings.load import resolve  # noqa: E402
 from ochrecourse.settings.plain import plain_map  # noqa: E402
+from ochrecourse.standins.bgppeer import StandInPeer  # noqa: E402
 from ochrecourse.wire import messages as m  # noqa: E402
 from ochrecourse.wire.framed import Framed  # noqa: E402
 from ochrecourse.wire.moves import Side, job_moves, leg_moves  # noqa: E402
@@ -156,6 +162,17 @@
     return factory
 
 
+def speaking(port: int) -> Speaker:
+    """A speaker with one peer and one address, as a gateway has it, looking at a fit gateway."""
+    fit = FitnessFigures(SECOND // 2, 60 * SECOND, 0.5, 0.5, 0.9, 2 * SECOND, 0, SECOND, SECOND)
+    figures = PeerFigures("p", 64512, 64600, 5, 9, 5 * SECOND, SECOND)
+    address = AddressSetup(ipaddress.ip_network("192.0.2.10/32"), ipaddress.ip_address("192.0.2.1"))
+    setup = SpeakerSetup([PeerSetup(figures, "127.0.0.1", port)], [address], fit, DrainFigures(0, 0, 0), None)
+    speaker = Speaker(reactor, setup, Sight, lambda: None, lambda: 0, lambda event, **more: None, 1)
+    speaker.start()
+    return speaker
+
+
 def gateway_port(ports: list[int]) -> Any:
     gateway = Gateway(plain_map(resolve(SETTINGS, "bench")), 1, reactor, dialler(reactor), "bench")
     entries = [NodeEntry(70 + i, 0, i, Health.READY, 0) for i in range(len(ports))]
@@ -198,21 +215,28 @@
             reactor.listenTCP(0, factory_of(Node), interface="127.0.0.1").getHost().port for _ in range(NODES)
         ]
         self.relay = reactor.listenTCP(0, factory_of(lambda: Relay(self.ports)), interface="127.0.0.1")
-        self.spent: dict[str, list[float]] = {"relay": [], "gateway": [], "decisions": []}
+        self.spent: dict[str, list[float]] = {"relay": [], "gateway": [], "with speaker": [], "decisions": []}
         self.denied = 0
         self.gateways: list[Any] = []
+        self.peer = StandInPeer(reactor)
+        self.speaker: Speaker | None = None
 
     def next(self) -> None:
-        count = len(self.spent["relay"]) + len(self.spent["gateway"])
-        if count == 2 * RUNS:
+        count = sum(len(self.spent[kind]) for kind in ("relay", "gateway", "with speaker"))
+        if self.speaker is not None:
+            self.speaker.kill()
+            self.speaker = None
+        if count == 3 * RUNS:
             reactor.stop()
             return
-        if count % 2 == 0:
+        if count % 3 == 0:
             self.spent["decisions"].append(decisions_alone())
             kind, port = "relay", self.relay.getHost().port
         else:
             self.gateways.append(gateway_port(self.ports))
             kind, port = "gateway", self.gateways[-1].getHost().port
+            if count % 3 == 2:
+                kind, self.speaker = "with speaker", speaking(self.peer.port)
 
         def done(spent: float, denied: int) -> None:
             self.spent[kind].append(spent)
@@ -235,12 +259,13 @@
     )
     for kind, times in bench.spent.items():
         print(
-            f"{kind:10} {median[kind]:7.1f} us of CPU a job (all ends; {min(times):.1f} to {max(times):.1f})"
+            f"{kind:12} {median[kind]:7.1f} us of CPU a job (all ends; {min(times):.1f} to {max(times):.1f})"
         )
     adds = median["gateway"] - median["relay"] - median["decisions"]
     print(
         f"the gateway adds {adds:.1f} us beyond relay and decisions: {adds / median['relay']:.2f} of the relay's own cost"
     )
+    print(f"with a speaker a job costs {median['with speaker'] / median['gateway']:.3f} of what it costs without")
     print(f"jobs denied: {bench.denied}")
 
 
--- /dev/null
+++ b/ochrecourse/audit/announcements.py
@@ -0,0 +1,130 @@
+"""Judges announcements: at each instant the peer's table against whether a probe through that address was
+served.
+
+It reads what a BGP peer and probing clients recorded and knows nothing of the gateway. Service counts as lost
+from the first of several probes in a row that were not served; the address may stay announced for `allowance`
+after that.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+from ochrecourse.audit import records as r
+
+SECOND = 1_000_000_000
+IN_A_ROW = 3  # probes that fail together before service counts as lost; one denial on a busy day is none
+
+
+@dataclass
+class Announcements:
+    """What was found, times in ns."""
+
+    losses: int = 0  # times that service was lost while the address was announced
+    delays: list[int] = field(default_factory=list)  # from each loss to the withdrawal
+    breaches: list[str] = field(default_factory=list)  # announced while unfit for longer than allowed
+    withdrawals: int = 0
+    needless: int = 0  # withdrawals with probes served before and after
+    unannounced: int = 0  # time in which probes were served and the address was not announced
+    told: int = 0  # all that the peer was told
+
+
+Span = tuple[int, int]
+
+
+def judge(records: Iterable[r.Record], allowance: int) -> Announcements:
+    """Judges all records of a run; `allowance` in ns."""
+    tables: dict[str, list[r.Announced]] = defaultdict(list)
+    probes: dict[str, list[r.Probed]] = defaultdict(list)
+    last = 0
+    for record in records:
+        last = max(last, record.t)
+        if isinstance(record, r.Announced):
+            tables[record.gateway].append(record)
+        elif isinstance(record, r.Probed):
+            probes[record.gateway].append(record)
+    found = Announcements()
+    for gateway, mine in probes.items():
+        _judge_one(found, gateway, tables[gateway], mine, last, allowance)
+    return found
+
+
+def _judge_one(
+    found: Announcements,
+    gateway: str,
+    table: list[r.Announced],
+    probes: list[r.Probed],
+    last: int,
+    allowance: int,
+) -> None:
+    probes.sort(key=lambda probe: probe.asked)
+    up = spans_of([(change.t, change.up) for change in table], last)
+    lost = losses_of(probes, last)
+    found.told += len(table)
+    for start, end in lost:
+        for first, until in up:
+            if first <= start < until:
+                found.losses += 1
+                found.delays.append(min(until, end) - start)
+            over = min(until, end) - max(first, start + allowance)
+            if first < end and until > start + allowance and over > 0:
+                text = (
+                    f"{gateway} was announced for {over / SECOND:.2f} s beyond what is allowed, unfit since "
+                )
+                found.breaches.append(
+                    f"at {(start + allowance) / SECOND:.3f} s: {text}{start / SECOND:.3f} s"
+                )
+    served = [probe.asked for probe in probes if probe.how == "fulfilled"]
+    for _, until in up:
+        if until < last:
+            found.withdrawals += 1
+            at = bisect_left(served, until)
+            near = [abs(each - until) for each in served[max(0, at - 1) : at + 1]]
+            found.needless += len(near) == 2 and max(near) < SECOND // 2
+    found.unannounced += _served_time(served, up)
+
+
+def spans_of(changes: list[tuple[int, bool]], last: int) -> list[Span]:
+    """From changes in order of time to the spans in which it was up."""
+    spans, since = [], -1
+    for t, is_up in changes:
+        if is_up and since < 0:
+            since = t
+        elif not is_up and since >= 0:
+            spans.append((since, t))
+            since = -1
+    if since >= 0:
+        spans.append((since, last))
+    return spans
+
+
+def losses_of(probes: list[r.Probed], last: int) -> list[Span]:
+    """Spans without service: from the first probe of a run that failed to the next that was served."""
+    spans: list[Span] = []
+    since, count = -1, 0
+    for probe in probes:
+        if probe.how == "fulfilled":
+            if count >= IN_A_ROW:
+                spans.append((since, probe.asked))
+            since, count = -1, 0
+        else:
+            since = probe.asked if since < 0 else since
+            count += 1
+    if count >= IN_A_ROW:
+        spans.append((since, last))
+    return spans
+
+
+def _served_time(served: list[int], up: list[Span]) -> int:
+    """Time between probes that were served, outside the spans in which the address was announced."""
+    whole = 0
+    for before, after in pairwise(served):
+        if after - before > SECOND // 2:
+            continue
+        covered = sum(max(0, min(after, until) - max(before, first)) for first, until in up)
+        whole += after - before - covered
+    return whole
--- a/ochrecourse/audit/records.py
+++ b/ochrecourse/audit/records.py
@@ -145,6 +145,23 @@
     started: int
 
 
+class Announced(Record, tag="announced"):
+    """A BGP peer was told of a gateway's address, or that it is gone (`up` false). `med` as told, 0 without.
+    """
+
+    gateway: str
+    up: bool
+    med: int = 0
+
+
+class Probed(Record, tag="probed"):
+    """A probe job through a gateway's address was answered or given up; `asked`: when it was sent."""
+
+    gateway: str
+    asked: int
+    how: str
+
+
 class Trouble(Record, tag="trouble"):
     """Something was broken on purpose, or mended."""
 
@@ -154,7 +171,7 @@
 
 Any = (
     Asked | Told | Left | ConnLost | Killed | Started | NodeUp | NodeDown | LegCame | LegOver | LegGivenUp |
-    Effect | ListTold | Trouble
+    Effect | ListTold | Announced | Probed | Trouble
 )  # fmt: skip
 
 _decoder = msgspec.json.Decoder(Any)
--- a/ochrecourse/bgp/speaker.py
+++ b/ochrecourse/bgp/speaker.py
@@ -222,6 +222,16 @@
         if self.listening is not None:
             self.listening.stopListening()
 
+    def kill(self) -> None:
+        """Cuts all connections and says nothing, as the end of a process does."""
+        self._stopped = True
+        stop(self._timer)
+        for held in self.peers:
+            for link in list(held.links.values()):
+                link.transport.abortConnection()
+        if self.listening is not None:
+            self.listening.stopListening()
+
     # --- looking and saying ---
 
     def look(self) -> None:
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -13,11 +13,12 @@
 from ochrecourse.bgp.setup import setup_of
 from ochrecourse.bgp.speaker import Speaker
 from ochrecourse.bgp.watch import Watch
+from ochrecourse.decide import Host
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway, Observer
-from ochrecourse.interface import Health
+from ochrecourse.interface import Decisions, Health
 from ochrecourse.membership.follower import Follower
-from ochrecourse.membership.view import News
+from ochrecourse.membership.view import Copy, News
 from ochrecourse.nodes.link import dialler
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.settings.load import address
@@ -40,6 +41,7 @@
         warn: Callable[[str], None],
         gone: Callable[[], None],
         told: Callable[..., None] | None = None,
+        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
     ) -> None:
         """`gone` is called when it has left; `told` hears of what changes about service addresses."""
         self.record = record
@@ -55,6 +57,7 @@
             own["name"],
             round(own["travel"] * MS),
             observers,
+            decisions,
         )
         self.front = FrontFactory(self.gateway, network, record["clients"]["connections"])
         where = address(record["list"]["address"])
@@ -81,6 +84,21 @@
         at = self.listening.getHost()
         return at.host, at.port
 
+    def take_kept(self, copy: Copy) -> None:
+        """A kept list, where it does not come from the folder `gateway.state`."""
+        self._news(self.follower.view.read_back(copy, now_ns(self.network)))
+
+    def kill(self) -> None:
+        """Ends everything at once and says nothing, as the end of a process does."""
+        if self.speaker is not None:
+            self.speaker.kill()
+        if self.listening is not None:
+            self.listening.stopListening()
+        self.gateway.stop()
+        self.follower.stop()
+        for front in list(self.front.fronts):
+            front.cut()
+
     def drain(self) -> None:
         """The way out. With service addresses they go first, as docs/bgp.md says; a second call skips that.
 
@@ -105,7 +123,7 @@
             list_age=0 if self.follower.line is not None else age or 0,
             list_fresh=age is not None,
             nodes_ready=len(ready),
-            nodes_reached=gateway.reach.reached(ready),
+            nodes_reached=gateway.reach.reached(ready, now),
             jobs=jobs,
             written_off=written_off,
             open_share=gateway.ledger.open / gateway.max_open,
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -326,6 +326,7 @@
             return
         task = self.tasks[said.job]
         request, product = task.request, story.product
+        self.reach.sent(said.node, now)
         left = story.due - now
         time_out = min(said.time_out, left) if said.time_out else left
         message = m.LegSent(
--- a/ochrecourse/lab/load.py
+++ b/ochrecourse/lab/load.py
@@ -9,7 +9,7 @@
 import bisect
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -395,6 +395,9 @@
         self.written: dict[int, list[tuple[int, int]]] = {}  # new objects of a volume: key, shard
         self.finished: Callable[[], None] = lambda: None
         self.done = False
+        self.steer: Callable[[Sequence[int], int], int | None] | None = (
+            None  # where a job goes, if not to its own
+        )
 
     def connect(self) -> None:
         for lines in self.lines.values():
@@ -442,7 +445,10 @@
         self._look()
 
     def _try(self, call: Call, number: int) -> None:
-        line = self.lines[call.gateway].line()
+        gateway: int | None = call.gateway
+        if self.steer is not None:
+            gateway = self.steer(call.volume.hosts, call.gateway)
+        line = self.lines[gateway].line() if gateway is not None else None
         now = now_ns(self.network)
         product = self.day.products[call.product]
         this = Try(call, number, now, now + round(product.timeout_ms * MS))
--- a/ochrecourse/lab/play.py
+++ b/ochrecourse/lab/play.py
@@ -5,29 +5,27 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from ochrecourse.audit import records as r
 from ochrecourse.decide import Host
-from ochrecourse.gateway.front import FrontFactory
-from ochrecourse.gateway.gateway import Gateway
+from ochrecourse.gateway.daemon import Daemon
 from ochrecourse.interface import Decisions
 from ochrecourse.lab.day import Day, Trouble, gateway_record, node_kind, push_over, volumes, works
 from ochrecourse.lab.load import Load, Outcomes, schedule
+from ochrecourse.lab.prober import Prober
 from ochrecourse.lab.virtual import VirtualNetwork
-from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import Copy
-from ochrecourse.nodes.link import dialler
 from ochrecourse.outside import Network, now_ns
-from ochrecourse.settings.plain import plain_map
+from ochrecourse.settings.load import resolve, write
+from ochrecourse.standins.bgppeer import StandInPeer
 from ochrecourse.standins.fleet import Fleet
 from ochrecourse.standins.machine import Meter
 
 WARM_UP = 0.5  # s before the first job, in which lists and connections come up
 TAIL = 8.0  # s after the last job, more than any client waits with all its tries
-FRONTS = 20_000  # connections that a gateway of a day takes
 
 DecisionsFor = Callable[[Mapping[str, str], int, int], Decisions]
 
@@ -91,68 +89,62 @@
 
 
 class Seat:
-    """One gateway of a virtual day, over its lives."""
+    """One gateway of a virtual day, over its lives: the daemon as it ships, less its process."""
 
     def __init__(self, play: VirtualPlay, index: int) -> None:
         self.play = play
         self.index = index
+        self.name = f"g{index}"
         self.lives = 0
         self.copy: Copy | None = None
-        self.gateway: Gateway | None = None
-        self.follower: Follower | None = None
-        self.front: FrontFactory | None = None
-        self.listening: Any = None
+        self.daemon: Daemon | None = None
         self.port = 0
 
     def start(self) -> None:
         play = self.play
         self.lives += 1
-        record = gateway_record(play.day, self.index, "", play.fleet.list_address(), "")
-        seed = play.day.seed * 1_000_003 + self.index * 1009 + self.lives
-        gateway = self.gateway = Gateway(
-            plain_map(record),
-            seed,
-            play.network,
-            dialler(play.network),
-            f"g{self.index}",
-            travel=round(play.day.travel_ms * 1e6),
-            decisions=play.decisions,
-        )
-        host, _, port = play.fleet.list_address().rpartition(":")
-        self.follower = Follower(
-            f"g{self.index}",
-            play.network,
-            (host, int(port)),
-            lambda news: gateway.list_came(news.kind, news.entries, news.addresses),
-            None,
-            seed,
+        record = gateway_record(play.day, self.index, f"127.0.0.1:{self.port}", play.fleet.list_address(), "")
+        gateway: Any = record["gateway"]
+        gateway["seed"] = play.day.seed * 1_000_003 + self.index * 1009 + self.lives
+        if play.peer is not None:
+            record["bgp"] = bgp_record(play.day, self.index, play.peer.port)
+        resolved = resolve(write(record), self.name)
+        self.daemon = Daemon(
+            resolved, play.network, [], play.warnings.append, lambda: None, decisions=play.decisions
         )
         if self.copy is not None:
-            news = self.follower.view.read_back(self.copy, now_ns(play.network))
-            gateway.list_came(news.kind, news.entries, news.addresses)
-        self.follower.start()
-        self.front = FrontFactory(gateway, play.network, FRONTS)
-        self.listening = play.network.listenTCP(self.port, self.front)
-        self.port = self.listening.getHost().port
-        play.record(r.Started(t=now_ns(play.network), gateway=f"g{self.index}"))
+            self.daemon.take_kept(self.copy)
+        _, self.port = self.daemon.start()
+        play.record(r.Started(t=now_ns(play.network), gateway=self.name))
 
     def kill(self) -> None:
         """Ends the gateway as kill -9 does: connections break, nothing is said, only the kept list stays."""
-        if self.gateway is None or self.follower is None or self.front is None:
+        if self.daemon is None:
             return
         play = self.play
-        play.record(r.Killed(t=now_ns(play.network), gateway=f"g{self.index}"))
-        self.listening.stopListening()
-        self.copy = self.follower.view.copy(now_ns(play.network))
-        play.add_up(self)
-        self.gateway.stop()
-        self.follower.stop()
-        for front in list(self.front.fronts):
-            front.cut()
-        self.gateway = None
+        play.record(r.Killed(t=now_ns(play.network), gateway=self.name))
+        self.copy = self.daemon.follower.view.copy(now_ns(play.network))
+        play.add_up(self.daemon)
+        self.daemon.kill()
+        self.daemon = None
 
     def address(self) -> tuple[str, int] | None:
-        return ("127.0.0.1", self.port) if self.gateway is not None else None
+        return ("127.0.0.1", self.port) if self.daemon is not None else None
+
+
+def bgp_record(day: Day, index: int, port: int) -> dict[str, object]:
+    """The part `bgp` of one gateway's settings; its service address is told by its number."""
+    return {
+        "identifier": f"10.1.{index // 250}.{index % 250 + 1}",
+        "peers": [{"name": "router", "address": f"127.0.0.1:{port}", "local_as": 64512, "remote_as": 64600}],
+        "addresses": [{"network": service_address(index), "next_hop": "127.0.0.1"}],
+        "fitness": {"rest": 500.0},
+    }
+
+
+def service_address(index: int) -> str:
+    """The service address of a gateway of a day (RFC 2544's block, never routed)."""
+    return f"198.18.{index // 250}.{index % 250 + 1}/32"
 
 
 class VirtualPlay:
@@ -160,28 +152,61 @@
     sockets.
     """
 
-    def __init__(self, day: Day, decisions: DecisionsFor = Host, record: r.Recorder | None = None) -> None:
+    def __init__(
+        self,
+        day: Day,
+        decisions: DecisionsFor = Host,
+        record: r.Recorder | None = None,
+        announces: bool = False,
+        steers: bool = False,
+    ) -> None:
+        """`announces`: gateways tell a stand-in BGP peer of their addresses; `steers`: clients go by its
+        table.
+        """
         self.day = day
         self.decisions = decisions
         self.records: list[r.Record] = []
         self.record: r.Recorder = record or self.records.append
         self.network = VirtualNetwork(day.seed, day.net_ms[0] / 1000, day.net_ms[1] / 1000)
         self.fleet = make_fleet(day, self.network, self.record)
+        self.peer = StandInPeer(self.network) if announces or steers else None
+        if self.peer is not None:
+            self.peer.on_change = self._announced
+        self.warnings: list[str] = []
         self.seats = [Seat(self, index) for index in range(day.gateways)]
         self.load = Load(self.network, day, {seat.index: seat.address for seat in self.seats}, self.record)
+        if steers:
+            self.load.steer = self.steer
         self.played = Played(day, self.load.outcomes, self.records)
 
-    def add_up(self, seat: Seat) -> None:
+    def _announced(self, prefix: str, said: dict[str, Any] | None) -> None:
+        index = next(each.index for each in self.seats if service_address(each.index) == prefix)
+        med = said.get("med", 0) if said else 0
+        self.record(r.Announced(t=now_ns(self.network), gateway=f"g{index}", up=said is not None, med=med))
+
+    def steer(self, hosts: Sequence[int], first: int) -> int | None:
+        """Where a client that goes by the peer's table sends a job: its own gateway if that is announced no
+        worse than others, else the best announced one of the volume's gateways.
+        """
+        assert self.peer is not None
+        best: tuple[int, bool, int] | None = None
+        for index in hosts:
+            known = self.peer.table.get(service_address(index))
+            if known is not None:
+                rank = (known[1].get("med", 0), index != first, index)
+                best = rank if best is None or rank < best else best
+        return best[2] if best is not None else None
+
+    def add_up(self, daemon: Daemon) -> None:
         """Takes a gateway's figures into the sums before it goes."""
-        assert seat.gateway is not None and seat.front is not None
-        ledger = seat.gateway.ledger
+        ledger = daemon.gateway.ledger
         self.played.legs += ledger.legs
         self.played.further += ledger.further
         told = {
             **{f"gateway: {closing.value}": count for closing, count in ledger.closings.items()},
             **{f"gateway: leg {ending.value}": count for ending, count in ledger.endings.items()},
-            **{f"gateway: {name}": count for name, count in seat.gateway.nodes.counts.items()},
-            **{f"gateway: {name}": count for name, count in seat.front.counts.items()},
+            **{f"gateway: {name}": count for name, count in daemon.gateway.nodes.counts.items()},
+            **{f"gateway: {name}": count for name, count in daemon.front.counts.items()},
         }
         for name, count in told.items():
             self.played.counts[name] = self.played.counts.get(name, 0) + count
@@ -190,7 +215,10 @@
         for seat in self.seats:
             seat.start()
         self.load.connect()
-        self.network.advance(WARM_UP)
+        self.network.advance(WARM_UP if self.peer is None else 4 * WARM_UP)
+        if self.peer is not None:
+            for seat in self.seats:
+                Prober(self.network, self.day, seat.name, seat.address, self.record).start()
         calls = schedule(self.day)
         self.played.calls = len(calls)
         play_troubles(self.day, self.network, self.fleet)
@@ -203,8 +231,8 @@
             self.network.advance(0.5)
         self.network.advance(1.0)  # whatever is still sent for a job that is over shows now
         for seat in self.seats:
-            if seat.gateway is not None:
-                self.add_up(seat)
+            if seat.daemon is not None:
+                self.add_up(seat.daemon)
         for name, count in self.load.counts.items():
             self.played.counts[f"clients: {name}"] = count
         return self.played
--- a/ochrecourse/standins/bgppeer.py
+++ b/ochrecourse/standins/bgppeer.py
@@ -202,6 +202,7 @@
         self.mute = False  # accepts and says nothing
         self.silent = False  # sends no keepalives
         self.open_bytes = b""  # sent in place of its OPEN
+        self.on_change: Callable[[str, dict[str, Any] | None], None] = lambda prefix, said: None
         self.on_up: Callable[[PeerEnd], None] = lambda end: None
         self.ends: list[PeerEnd] = []
         self.table: dict[str, tuple[PeerEnd, dict[str, Any]]] = {}
@@ -237,10 +238,12 @@
     def gain(self, end: PeerEnd, prefix: str, said: dict[str, Any]) -> None:
         self.table[prefix] = (end, said)
         self.changes.append(Told(self.network.seconds(), prefix, dict(said)))
+        self.on_change(prefix, said)
 
     def lose(self, end: PeerEnd, prefix: str) -> None:
         if self.table.pop(prefix, None) is not None:
             self.changes.append(Told(self.network.seconds(), prefix))
+            self.on_change(prefix, None)
 
     def down(self, end: PeerEnd) -> None:
         """A session that ends takes its routes with it (RFC 4271 8.2.2)."""
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -13,6 +13,7 @@
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import BadList, Copy, View
 from ochrecourse.nodes.pool import Pool, PoolLimits, State
+from ochrecourse.nodes.reach import Reach
 from ochrecourse.nodes.proof import PROVES, Close, Ran, Seen, Written, seen_at_close, seen_at_timeout
 from ochrecourse.outside import MS, SECOND
 from ochrecourse.standins.listserver import ListServer
@@ -114,6 +115,22 @@
     assert pool.leg_over(line, 1, 0)
 
 
+def test_a_node_is_out_of_reach_after_failures_in_a_row_or_a_silence_and_back_with_a_word():
+    reach = Reach()
+    for _ in range(3):
+        assert reach.reached([70, 71], SECOND) == 2
+        reach.ended(70, Ending.TIMEOUT)
+    assert reach.reached([70, 71], SECOND) == 1
+    reach.ended(70, Ending.FULL)  # it turns work away, so it lives
+    assert reach.reached([70, 71], SECOND) == 2
+    reach.sent(71, SECOND)
+    assert reach.reached([71], 9 * SECOND) == 1  # one leg may be a heavy job
+    reach.sent(71, 2 * SECOND)
+    assert reach.reached([71], SECOND + 500 * MS) == 1 and reach.reached([71], 2 * SECOND) == 0
+    reach.ended(71, Ending.FULFILLED)
+    assert reach.reached([71], 2 * SECOND) == 1
+
+
 # --- the books ---
 
 
