--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -223,10 +223,12 @@
     before = outside.memory_info().rss
     clients = []
     answers: list[Any] = []
+    began = reactor.seconds()
     for _ in range(COUNT // 100):
         got = [connect(port, answers.append) for _ in range(100)]
         for each in got:
             clients.append((yield each))
+    print(f"{COUNT} clients connected and greeted in {reactor.seconds() - began:.2f} s")
     yield wait(0.5)
     idle = outside.memory_info().rss
     print(f"memory: {(idle - before) / COUNT / 1024:.1f} KiB an idle client connection ({COUNT} of them)")
--- a/ochrecourse/bgp/fitness.py
+++ b/ochrecourse/bgp/fitness.py
@@ -12,13 +12,13 @@
 
 from __future__ import annotations
 
+from ochrecourse.outside import SECOND
+
 from collections import deque
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import NamedTuple
 
-SECOND = 1_000_000_000  # ns
-
 
 class Standing(IntEnum):
     """How an address is announced; a higher one is better."""
--- a/ochrecourse/bgp/session.py
+++ b/ochrecourse/bgp/session.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from ochrecourse.outside import SECOND
+
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,7 +20,6 @@
 from ochrecourse.bgp.codec import Code, Malformed, Message, Notification
 from ochrecourse.bgp.routes import Routes
 
-SECOND = 1_000_000_000  # ns
 OPEN_WAIT = 240 * SECOND  # ns for the peer's OPEN; the large hold time of RFC 4271 8.2.2
 LEAST_HOLD = 3  # s; RFC 4271 4.2 allows none shorter but 0
 FLOOD = 2000  # messages of a peer handled in one second; above it a session is a burden and is ended
@@ -36,6 +37,13 @@
     ESTABLISHED = 5
 
 
+WRONG_IN = {
+    State.OPEN_SENT: codec.IN_OPEN_SENT,
+    State.OPEN_CONFIRM: codec.IN_OPEN_CONFIRM,
+    State.ESTABLISHED: codec.IN_ESTABLISHED,
+}  # subcodes of an error of the state machine (RFC 6608)
+
+
 class PeerFigures(NamedTuple):
     """What the settings say of a peer. Spans in ns but `hold_time`, which is in s as on the wire."""
 
@@ -44,7 +52,7 @@
     remote_as: int
     identifier: int
     hold_time: int
-    connect_retry: int
+    connect_retry: int  # what a dial may take (the ConnectRetryTimer)
     idle_wait: int  # after a session or dial that failed, doubled each time up to a bound
     dials: bool = True
     families: frozenset[int] = frozenset((codec.IPV4, codec.IPV6))
@@ -255,7 +263,9 @@
         self.heard = (second, count + 1) if second == now // SECOND else (now // SECOND, 1)
         if self.heard[1] > FLOOD:
             self.counts["floods"] += 1
-            self._end(link, Notification(Code.CEASE, 8), now, "the peer floods this side")  # out of resources
+            self._end(
+                link, Notification(Code.CEASE, codec.OUT_OF_RESOURCES), now, "the peer floods this side"
+            )
             return
         if isinstance(message, Notification):
             text = f" ({message.text()})" if message.text() else ""
@@ -265,7 +275,7 @@
             return
         handler = MOVES.get((link.state, type(message)))
         if handler is None:
-            subcode = {State.OPEN_SENT: 1, State.OPEN_CONFIRM: 2, State.ESTABLISHED: 3}[link.state]
+            subcode = WRONG_IN[link.state]
             text = f"{type(message).__name__} came in {link.state.name}"
             self._end(link, Notification(Code.FSM, subcode), now, text)
             return
--- a/ochrecourse/bgp/setup.py
+++ b/ochrecourse/bgp/setup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ochrecourse.outside import MS
+
 import ipaddress
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
@@ -10,7 +12,6 @@
 from ochrecourse.bgp.fitness import DrainFigures, FitnessFigures
 from ochrecourse.bgp.session import LEAST_HOLD, PeerFigures
 
-MS = 1_000_000  # ns in a millisecond; spans of the record are in ms
 FAMILIES = {"ipv4": codec.IPV4, "ipv6": codec.IPV6}
 
 
--- a/ochrecourse/bgp/speaker.py
+++ b/ochrecourse/bgp/speaker.py
@@ -21,16 +21,15 @@
 from ochrecourse.bgp import codec
 from ochrecourse.bgp.codec import Attributes
 from ochrecourse.bgp.fitness import Drain, Fitness, Sight, Stage, Standing
-from ochrecourse.bgp.session import SECOND, Dial, Drop, Peer, PeerFigures, Say
+from ochrecourse.bgp.session import Dial, Drop, Peer, PeerFigures, Say
 from ochrecourse.bgp.setup import AddressSetup, PeerSetup, SpeakerSetup
 from ochrecourse.gateway.lateness import Lateness
-from ochrecourse.outside import Network, Timer, now_ns, stop
+from ochrecourse.outside import SECOND, Network, Timer, now_ns, stop
 
 LOOK = (
     0.1  # s between looks at the gateway; a tenth of the second in which a loss of service is to be withdrawn
 )
 LATE_SPAN = 2 * SECOND  # ns for which a loop that was late counts
-DIAL_TIME = 5.0  # s that a dial may take
 LAST_WORDS = 2.0  # s for a NOTIFICATION to leave; after that the connection is cut
 IP_MINTTL = 21  # Linux; Python's socket module has no name for it
 
@@ -119,7 +118,8 @@
 
     def do(self, step: Dial | Say | Drop) -> None:
         if isinstance(step, Dial):
-            self.speaker.network.connectTCP(self.setup.host, self.setup.port, self, timeout=DIAL_TIME)
+            wait = self.setup.figures.connect_retry / SECOND
+            self.speaker.network.connectTCP(self.setup.host, self.setup.port, self, timeout=wait)
             return
         link = self.links.get(step.link)
         if link is None:
--- a/ochrecourse/gateway/sampling.py
+++ b/ochrecourse/gateway/sampling.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-SECOND = 1_000_000_000  # ns
+from ochrecourse.outside import SECOND
 
 
 class Sampling:
@@ -19,7 +19,6 @@
         self.store = self.depth
         self.at = 0
         self.dropped = 0
-        self.dropped_ever = 0
 
     def writes(self, well: bool, now: int) -> bool:
         """Whether this job gets a line; `well`: fulfilled by its first leg."""
@@ -29,7 +28,6 @@
         floor = self.depth / 2 if well else 0.0
         if self.store - 1 < floor:
             self.dropped += 1
-            self.dropped_ever += 1
             return False
         self.store -= 1
         return True
--- a/ochrecourse/lab/bench_day.py
+++ b/ochrecourse/lab/bench_day.py
@@ -14,9 +14,10 @@
 from typing import Any
 
 from ochrecourse.lab.day import TROUBLES, BadDay, Day, Habits, Plan, Product, RuleFigures, Trouble, check
+from ochrecourse.settings.plain import EFFECTS
 from ochrecourse.standins.machine import NodeKind
 
-EFFECTS = {"safe": "retriable", "keyed": "fingerprinted", "unsafe": "binding"}
+OURS = {theirs: ours for ours, theirs in EFFECTS.items()}  # our names of effects by the wire's
 # ms that an answer may take to its client; the bench states a slack of its own, real sockets need more
 TRAVEL = 40.0
 
@@ -118,7 +119,7 @@
         timeout_ms=each["deadline"] / 1000,
         payoff=each["worth"],
         late_share=each["late_worth"],
-        effect=EFFECTS[each["effect"]],
+        effect=OURS[each["effect"]],
         group=each["group"],
         window_ms=each["window"] / 1000,
         in_order=bool(each.get("in_order", False)),
--- a/ochrecourse/lab/day.py
+++ b/ochrecourse/lab/day.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ochrecourse.settings.plain import EFFECTS
 from ochrecourse.standins.machine import NodeKind, ProductWork, PushOver
 
 TROUBLES = (
@@ -174,7 +175,7 @@
         if trouble.which and trouble.which not in names:
             raise BadDay(f"{where}: troubles[{i}]: {trouble.which!r} is neither a product nor a plan")
     for product in day.products:
-        if product.effect not in ("retriable", "fingerprinted", "binding"):
+        if product.effect not in EFFECTS:
             raise BadDay(f"{where}: product {product.name}: no effect is named {product.effect!r}")
         if product.timeout_ms <= day.travel_ms:
             raise BadDay(f"{where}: product {product.name}: its client timeout is not above travel_ms")
@@ -249,12 +250,11 @@
 
 def works(day: Day) -> dict[str, ProductWork]:
     """The products as nodes see them."""
-    effects = {"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}
     return {
         each.name: ProductWork(
             unit_ms=each.unit_ms,
             cv=each.cv,
-            effect=effects[each.effect],
+            effect=EFFECTS[each.effect],
             group=each.group,
             unit_bytes=each.unit_bytes,
         )
--- a/ochrecourse/lab/figures.py
+++ b/ochrecourse/lab/figures.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from ochrecourse.audit.judge import Figures, ProductRule
+from ochrecourse.outside import MS
+from ochrecourse.settings.plain import EFFECTS
 from ochrecourse.lab.day import Day, limit_of, volumes
 
-EFFECTS = {"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}
-MS = 1_000_000
-
 
 def figures_of(day: Day) -> Figures:
     """What docs/days.md states for a day, with how much two ends of a socket may disagree on a time."""
--- a/ochrecourse/membership/view.py
+++ b/ochrecourse/membership/view.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from ochrecourse.outside import MS
+
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -17,7 +19,6 @@
 from ochrecourse.interface import Health, ListKind, NodeEntry
 from ochrecourse.wire.messages import Listed
 
-MS = 1_000_000  # ns in a millisecond
 HEALTH = {"ready": Health.READY, "draining": Health.DRAINING, "gone": Health.GONE}
 
 
--- a/ochrecourse/nodes/reach.py
+++ b/ochrecourse/nodes/reach.py
@@ -1,9 +1,10 @@
 """Which nodes this gateway reaches, from how its dials and legs go. Free of I/O and clocks.
 
 A node counts as out of reach after several failures in a row with no word from it in between, or while
-several legs have waited for a word of it for longer than a node at work stays silent. Any word brings it
-back. Only failures that a live node would not cause count: refused or silent dials, broken connections, time-
-outs.
+several legs have waited for a word of it for longer than a node at work stays silent. Any word of service
+brings it back. Only failures that a live node would not cause count: refused or silent dials, broken
+connections, and time-outs. The same holds for all nodes together: a few legs at each may still say that none
+answers.
 """
 
 from __future__ import annotations
@@ -21,41 +22,52 @@
 
 @dataclass(slots=True)
 class Heard:
-    """One node: failures in a row, and what was sent since its last word. `since`: when the first of it was.
-    """
+    """Failures in a row, and what was sent since the last word. `since`: when the first of it was."""
 
     failures: int = 0
     sent: int = 0
     since: int = 0
 
+    def leg_sent(self, now: int) -> None:
+        if not self.sent:
+            self.since = now
+        self.sent += 1
+
+    def leg_ended(self, ending: Ending) -> None:
+        if ending in SILENT:
+            self.failures += 1
+        elif ending is Ending.FULL:
+            # Guards against a hung node that turns away what its queue won't hold: that is no service.
+            self.sent = max(0, self.sent - 1)
+        else:
+            self.failures = self.sent = 0
+
+    def unheard(self, now: int) -> bool:
+        return self.sent >= UNHEARD and now - self.since > SILENCE
+
 
 class Reach:
     """All nodes that were sent a leg."""
 
     def __init__(self) -> None:
         self.nodes: dict[int, Heard] = {}
+        self.whole = Heard()
 
     def sent(self, node: int, now: int) -> None:
         """A leg goes to this node."""
-        heard = self.nodes.setdefault(node, Heard())
-        if not heard.sent:
-            heard.since = now
-        heard.sent += 1
+        self.nodes.setdefault(node, Heard()).leg_sent(now)
+        self.whole.leg_sent(now)
 
     def ended(self, node: int, ending: Ending) -> None:
         """A leg at this node ended so."""
-        heard = self.nodes.setdefault(node, Heard())
-        if ending in SILENT:
-            heard.failures += 1
-        else:
-            heard.failures = heard.sent = 0
+        self.nodes.setdefault(node, Heard()).leg_ended(ending)
+        self.whole.leg_ended(ending)
 
     def reached(self, nodes: Iterable[int], now: int) -> int:
         """How many of these nodes are not out of reach."""
+        if self.whole.unheard(now):
+            return 0
         return sum(self._reached(self.nodes.get(node), now) for node in nodes)
 
     def _reached(self, heard: Heard | None, now: int) -> bool:
-        if heard is None:
-            return True
-        waits = heard.sent >= UNHEARD and now - heard.since > SILENCE
-        return heard.failures < IN_A_ROW and not waits
+        return heard is None or (heard.failures < IN_A_ROW and not heard.unheard(now))
--- a/ochrecourse/settings/schema.cue
+++ b/ochrecourse/settings/schema.cue
@@ -30,7 +30,7 @@
 	local_as:     int & >=1 & <=4294967295
 	remote_as:    int & >=1 & <=4294967295
 	hold_time:    *9s | (duration & >=0ms)    // 0s: no keepalives; else 3s at the least, in whole seconds
-	retry:        *5s | (duration & >=100ms)
+	retry:        *5s | (duration & >=100ms) // what a dial may take before it is tried anew
 	idle_wait:    *1s | (duration & >=100ms)  // after a failure; doubled each time up to 64 times
 	dials:        *true | bool                // false: it is waited for
 	families:     *["ipv4", "ipv6"] | [...("ipv4" | "ipv6")]
--- /dev/null
+++ b/ochrecourse/webdav/__init__.py
@@ -0,0 +1,1 @@
+"""The WebDAV door: requests to jobs, namespace, locks and preconditions, without I/O."""
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -121,7 +121,9 @@
         assert reach.reached([70, 71], SECOND) == 2
         reach.ended(70, Ending.TIMEOUT)
     assert reach.reached([70, 71], SECOND) == 1
-    reach.ended(70, Ending.FULL)  # it turns work away, so it lives
+    reach.ended(70, Ending.FULL)  # a hung node may still turn away what its queue won't hold
+    assert reach.reached([70, 71], SECOND) == 1
+    reach.ended(70, Ending.ERROR)
     assert reach.reached([70, 71], SECOND) == 2
     reach.sent(71, SECOND)
     assert reach.reached([71], 9 * SECOND) == 1  # one leg may be a heavy job
