--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -27,6 +27,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks  # noqa: E402
 from twisted.internet.protocol import ClientFactory, Factory  # noqa: E402
 
+from ochrecourse.standins.bgppeer import StandInPeer  # noqa: E402
 from ochrecourse.standins.listserver import ListServer  # noqa: E402
 from ochrecourse.wire import messages as m  # noqa: E402
 from ochrecourse.wire.framed import Framed  # noqa: E402
@@ -46,6 +47,15 @@
 """
 
 
+SPEAKER = """
+bgp: {{
+	identifier: "10.0.0.5"
+	peers: [{{name: "p", address: "127.0.0.1:{port}", local_as: 64512, remote_as: 64600, hold_time: 3s}}]
+	addresses: [{{network: "192.0.2.10/32", next_hop: "192.0.2.1"}}]
+}}
+"""
+
+
 class Node(Framed):
     """Answers at once, or never (`mute`)."""
 
@@ -130,9 +140,10 @@
             self.list.put(m.Listed(node=70 + i, address=f"127.0.0.1:{port.getHost().port}", shard=i), 0)
         self.list_port = reactor.listenTCP(0, self.list, interface="127.0.0.1").getHost().port
 
-    def gateway(self, dials: int = 16) -> tuple[subprocess.Popen[bytes], int]:
+    def gateway(self, dials: int = 16, peer: int = 0) -> tuple[subprocess.Popen[bytes], int]:
         path = self.folder / f"bench{dials}.cue"
-        path.write_text(SETTINGS.format(list=f"127.0.0.1:{self.list_port}", dials=dials))
+        text = SETTINGS.format(list=f"127.0.0.1:{self.list_port}", dials=dials)
+        path.write_text(text + (SPEAKER.format(port=peer) if peer else ""))
         process = subprocess.Popen(
             [sys.executable, "-m", "ochrecourse", "serve", str(path)],
             stdout=subprocess.PIPE,
@@ -202,10 +213,14 @@
     most = yield saturation(port)
     relay_most = yield saturation(relay_port)
     print(f"saturation, one client in this process: {most:.0f} jobs/s; the relay {relay_most:.0f} jobs/s")
+    peer = StandInPeer(reactor)
+    speaking, speaking_port = yard.gateway(peer=peer.port)
+    yield wait(4.0)
+    assert peer.table, "the speaker's address is not announced"
     for part in (1 / 3, 2 / 3):
-        runs: dict[str, list[list[float]]] = {"gateway": [], "relay": []}
+        runs: dict[str, list[list[float]]] = {"gateway": [], "relay": [], "speaker": []}
         for _ in range(3):
-            for name, where in (("relay", relay_port), ("gateway", port)):
+            for name, where in (("relay", relay_port), ("gateway", port), ("speaker", speaking_port)):
                 runs[name].append((yield latency(where, most * part)))
         medians = {
             name: [statistics.median(each) for each in zip(*got, strict=True)] for name, got in runs.items()
@@ -215,7 +230,12 @@
             for q, a, b in zip(("p50", "p99", "p99.9"), medians["gateway"], medians["relay"], strict=True)
         )
         print(f"added latency in ms at {part:.2f} of saturation ({most * part:.0f} jobs/s): {shown}")
+        told = ", ".join(
+            f"{q} {a - b:+.2f}" for q, a, b in zip(("p50", "p99", "p99.9"), medians["speaker"], medians["gateway"], strict=True)
+        )
+        print(f"what a speaker adds to the gateway's latency in ms there: {told}")
     process.terminate()
+    speaking.kill()
     relay_process.kill()
     process, port = yard.gateway()
     yield wait(0.5)
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -42,7 +43,10 @@
     )
     sampling = Sampling(settings["log"]["sample"])
     files = raise_files()
-    daemon = Daemon(settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop, log.info)
+    epoch = int(time.time() - time.monotonic())
+    daemon = Daemon(
+        settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop, log.info, epoch=epoch
+    )
 
     def reload() -> None:
         try:
@@ -81,6 +85,9 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, on_signal)
     click.echo(f"listening {host}:{port}")
+    if daemon.door_listening is not None:
+        at = daemon.door_listening.getHost()
+        click.echo(f"webdav {at.host}:{at.port}")
     sys.stdout.flush()
     calm_collector()
     log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import random
+import uuid
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,8 @@
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.settings.load import address
 from ochrecourse.settings.plain import plain_map
+from ochrecourse.webdav.door import Door
+from ochrecourse.webdav.mapping import ProductRule, VolumeRule
 
 LAST_WORDS = 0.2  # s for the last answers to leave before the process ends
 
@@ -42,8 +45,11 @@
         gone: Callable[[], None],
         told: Callable[..., None] | None = None,
         decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
+        epoch: int = 0,
     ) -> None:
-        """`gone` is called when it has left; `told` hears of what changes about service addresses."""
+        """`gone` is called when it has left; `told` hears of what changes about service addresses; `epoch`: s
+        since 1970 at the clock's zero, for dates that clients see.
+        """
         self.record = record
         self.network = network
         self.gone = gone
@@ -65,6 +71,8 @@
         kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
         self.follower = Follower(own["name"], network, where, self._news, kept, seed ^ 0x5DEECE66D, warn)
         self.listening: Any = None
+        self.door = door_of(record, self.gateway, network, epoch) if "webdav" in record else None
+        self.door_listening: Any = None
         self.watch = Watch()
         setup = setup_of(record)
         self.speaker: Speaker | None = None
@@ -79,6 +87,11 @@
         host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
         self.follower.start()
         self.listening = self.network.listenTCP(port, self.front, backlog=4096, interface=host)
+        if self.door is not None:
+            door_host, door_port = address(self.record["webdav"]["listen"]) or ("127.0.0.1", 0)
+            self.door_listening = self.network.listenTCP(
+                door_port, self.door, backlog=4096, interface=door_host
+            )
         if self.speaker is not None:
             self.speaker.start()
         at = self.listening.getHost()
@@ -206,6 +219,8 @@
     def _left(self) -> None:
         self.listening.stopListening()
         self.listening = None
+        if self.door_listening is not None:
+            self.door_listening.stopListening()
         self.follower.stop()
         if self.speaker is None or self.speaker.drain.stage is Stage.SERVING:
             self._gone()
@@ -218,6 +233,19 @@
         self.network.callLater(2 * LAST_WORDS, self.gone)
 
 
+def door_of(record: Mapping[str, Any], gateway: Gateway, network: Network, epoch: int) -> Door:
+    """The WebDAV door of a record; a request's time is its product's client timeout."""
+    said = record["webdav"]
+    timeouts = {each["name"]: each["client_timeout"] / 1000 for each in record["products"]}
+    products = [
+        ProductRule(each["method"], each["most"], each["product"], timeouts[each["product"]])
+        for each in said["products"]
+    ]
+    volumes = [VolumeRule(each["name"], each["plan"], each["gateways"]) for each in said["volumes"]]
+    unit, most, number = round(said["unit"]), record["units"]["most"], record["gateway"]["number"]
+    return Door(gateway, network, products, volumes, unit, most, number, epoch, lambda: uuid.uuid4().urn)
+
+
 def changes(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
     """Where two records differ: path, old value, new value."""
     if isinstance(old, Mapping) and isinstance(new, Mapping):
--- a/ochrecourse/lab/days.py
+++ b/ochrecourse/lab/days.py
@@ -55,7 +55,7 @@
     "give_up": {"size": 0.4, "extra": 0.5},
     "balancer_roll": {"part": 0.9, "size": 0.3, "extra": 0.5},
     "list_gone": {},
-    "all_gone": {},
+    "all_gone": {"len_s": 5.0},
 }
 
 
--- a/ochrecourse/lab/virtual.py
+++ b/ochrecourse/lab/virtual.py
@@ -46,6 +46,13 @@
             raise error.AlreadyCalled
         self.done = True
 
+    def reset(self, seconds: float) -> None:
+        """Comes due so many seconds from now in place of its time before."""
+        if self.done:
+            raise error.AlreadyCalled
+        self.at = self.network.now + seconds
+        self.network.push(self)
+
     def getTime(self) -> float:
         return self.at
 
@@ -69,16 +76,20 @@
         return self.now
 
     def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Call:
-        self.count += 1
         call = Call(self, self.now + max(0.0, delay), callable, args)
-        heapq.heappush(self.calls, (call.at, self.count, call))
+        self.push(call)
         return call
 
+    def push(self, call: Call) -> None:
+        """Puts a call in line by its time; what stands there of it from before is passed over."""
+        self.count += 1
+        heapq.heappush(self.calls, (call.at, self.count, call))
+
     def run_until(self, end: float, most: int = 1 << 62) -> None:
         """Runs all calls due by `end`, in order; the clock stands at `end` afterwards."""
         while self.calls and self.calls[0][0] <= end and most > 0:
             at, _, call = heapq.heappop(self.calls)
-            if call.done:
+            if call.done or call.at != at:
                 continue
             self.now = max(self.now, at)
             call.done = True
--- a/ochrecourse/settings/load.py
+++ b/ochrecourse/settings/load.py
@@ -23,6 +23,7 @@
         "last_choice", "withdrawn", "unread",
     )
 )  # fmt: skip
+SIZES = frozenset(["unit"])
 RATES = frozenset(["rate", "reserve", "limit", "sample"])
 
 
@@ -100,6 +101,7 @@
                     where, f"plans[{i}].limit_burst must hold a largest job of every gateway: {least:g} units"
                 )
             )
+    told += _webdav(record, places, start)
     for path, text in bgp_mistakes(record):
         told.append(BadSettings(places.get(path, start), f"{path} {text}"))
     if record["gateway"]["number"] >= record["gateway"]["gateways"]:
@@ -115,6 +117,25 @@
     return told
 
 
+def _webdav(record: Mapping[str, Any], places: Mapping[str, Place], start: Place) -> list[BadSettings]:
+    """The tables of the WebDAV door name products and plans that there are."""
+    if "webdav" not in record:
+        return []
+    told = []
+    for table, field, kind in (("products", "product", "products"), ("volumes", "plan", "plans")):
+        known = [each["name"] for each in record[kind]]
+        for i, rule in enumerate(record["webdav"][table]):
+            if rule[field] not in known:
+                path = f"webdav.{table}[{i}].{field}"
+                one_of = " or ".join(map(repr, known))
+                told.append(
+                    BadSettings(places.get(path, start), f"{path} is {rule[field]!r}; it may be {one_of}")
+                )
+    if address(record["webdav"]["listen"]) is None:
+        told.append(BadSettings(places.get("webdav.listen", start), "webdav.listen is no HOST:PORT"))
+    return told
+
+
 def address(text: str) -> tuple[str, int] | None:
     """Host and port of HOST:PORT, None if it is not of that form."""
     host, _, port = text.rpartition(":")
@@ -146,6 +167,8 @@
         return "null"
     if name in DURATIONS:
         return f"{_number(value)}ms"
+    if name in SIZES:
+        return f"{_number(value)}B"
     if name in RATES:
         return f"{_number(value)}/s"
     return _number(value)
--- a/ochrecourse/settings/schema.cue
+++ b/ochrecourse/settings/schema.cue
@@ -48,6 +48,18 @@
 	list_needed:       *true | bool                       // whether an old list makes it the last choice
 }
 
+#Request: {
+	method:  "GET" | "PUT"
+	most:    *-1 | (int & >=-1)               // bytes up to which it fits; -1: any size
+	product: string
+}
+
+#Volume: {
+	name:     *"" | string                    // first segment of the path; empty: every other one
+	plan:     string
+	gateways: *1 | (int & >=1)
+}
+
 gateway: {
 	name:     string
 	listen:   *"127.0.0.1:0" | string
@@ -110,6 +122,13 @@
 	dials:        *16 | (int & >=1 & <=1024)
 }
 
+webdav?: {
+	listen:   *"127.0.0.1:0" | string
+	unit:     *64KiB | (size & >0B)           // a job counts one unit for each that is begun
+	products: [...#Request]                   // the first that fits
+	volumes:  [...#Volume]                    // the first that fits
+}
+
 bgp?: {
 	identifier: string                        // an IPv4 address, of this speaker alone
 	listen:     *"" | string                  // for peers that come by themselves; empty: none may
--- a/ochrecourse/webdav/resends.py
+++ b/ochrecourse/webdav/resends.py
@@ -1,16 +1,16 @@
 """Hasty resends: what becomes of a request whose first try is still under way. Free of I/O and clocks.
 
-Two requests are the same if method, path, client and mark agree (the mark is the client's own,
-`Idempotency-Key`, or the digest that it names; a PUT without one is the same only if its size and conditions
-are too). While the first is out, a second one is never a leg beside it:
+Two requests are the same if method, path, client and mark agree (the mark is the client's own
+`Idempotency-Key`); a PUT without a mark is the same if its body is. While the first is out, a second one is
+never a leg beside it:
 
 - the same GET joins it: one read, each gets its answer;
 - the same PUT waits for it and gets the answer that the first one gets;
 - another PUT to the path is denied for now (503, come back): which of the two was meant last is not ours to
 guess.
 
-What ended is remembered for a while, so that a resend after the answer gets that answer again and runs
-nothing.
+What ended with a mark is remembered for a while, so that a resend after the answer gets that answer again and
+runs nothing.
 """
 
 from __future__ import annotations
@@ -33,6 +33,7 @@
     path: Path
     client: str
     mark: str
+    content: str = ""  # digest of the body, where the client sent no mark
 
 
 class What(Enum):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,5 +1,6 @@
 """Real processes on loopback sockets: the daemon's signals, kill -9 and restart, many clients, a day from end to end."""
 
+import http.client
 import json
 import os
 import signal
@@ -250,6 +251,8 @@
 class RawPeer:
     """A BGP peer over blocking sockets, a few lines that share nothing with the speaker: it keeps what it is told."""
 
+    OPEN = bytes.fromhex("04fc5800030a000009080206010400010001")  # AS 64600, hold time 3 s, IPv4 unicast
+
     def __init__(self):
         self.door = socket.create_server(("127.0.0.1", 0))
         self.door.settimeout(LONG)
@@ -260,8 +263,7 @@
         """Takes the speaker's connection up to Established; the hold time is 3 s."""
         self.end, _ = self.door.accept()
         self.end.settimeout(LONG)
-        body = bytes.fromhex("04fc5800030a000009080206" + "010400010001")
-        self.say(1, body)
+        self.say(1, self.OPEN)
         self.until(1)
         self.say(4)
         self.until(4)
@@ -334,6 +336,21 @@
     assert serving.end()[0] == 0
 
 
+def test_ttl_security_takes_only_what_passed_no_router_and_sends_so_itself(announced, running):
+    peer, gateway, _ = announced
+    gateway.path.write_text(gateway.path.read_text().replace("hold_time: 3s", "hold_time: 3s, ttl_security: true"))
+    peer.door.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, 255)
+    running("serve", gateway.path)
+    peer.end, _ = peer.door.accept()
+    peer.end.settimeout(LONG)
+    peer.until(1)  # it has set its own options by now
+    peer.end.setsockopt(socket.IPPROTO_IP, 21, 255)  # IP_MINTTL: from now on with 255 only
+    peer.say(1, peer.OPEN)
+    peer.until(4)
+    peer.say(4)
+    assert peer.until(2).endswith(NLRI)
+
+
 def test_a_killed_daemon_takes_its_address_with_its_connection(announced, running):
     peer, gateway, _ = announced
     serving = running("serve", gateway.path)
@@ -357,3 +374,30 @@
     serving.process.send_signal(signal.SIGCONT)
     peer.end.settimeout(LONG)
     assert peer.until(3)[0] == 4  # it finds that its own hold timer expired, and says so
+
+
+def test_a_file_is_saved_and_fetched_over_webdav_on_real_sockets(gateway, running):
+    serving = gateway()
+    assert serving.end()[0] == 0
+    gateway.path.write_text(
+        gateway.path.read_text()
+        + """webdav: {
+	products: [{method: "GET", product: "page-read"}, {method: "PUT", product: "note-save"}]
+	volumes: [{plan: "gold"}]
+}
+"""
+    )
+    serving = running("serve", gateway.path)
+    host, _, port = serving.process.stdout.readline().decode().split()[1].rpartition(":")
+    Client(serving.address).serve_one()  # it has its list of nodes
+    client = http.client.HTTPConnection(host, int(port), timeout=LONG)
+
+    def ask(method, path, body=None):
+        client.request(method, path, body)
+        answer = client.getresponse()
+        return answer.status, answer.read()
+
+    data = bytes(range(256)) * 2000
+    assert ask("MKCOL", "/week")[0] == 201 and ask("PUT", "/week/f", data)[0] == 201
+    assert ask("GET", "/week/f") == (200, data) and ask("GET", "/none")[0] == 404
+    assert serving.end()[0] == 0
