--- a/ochrecourse/webdav/mapping.py
+++ b/ochrecourse/webdav/mapping.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from ochrecourse.webdav.paths import Path
@@ -67,7 +67,7 @@
     return float(min(most, max(1, -(-size // unit))))
 
 
-def wait_of(headers: dict[str, str], default: float) -> float:
+def wait_of(headers: Mapping[str, str], default: float) -> float:
     """How long the client waits: `Prefer: wait=SECONDS` (RFC 7240 4.3) if it is shorter than the product's
     own.
     """
@@ -82,7 +82,7 @@
     method: str,
     path: Path,
     size: int,
-    headers: dict[str, str],
+    headers: Mapping[str, str],
     products: Sequence[ProductRule],
     volumes: Sequence[VolumeRule],
     unit: int,
