--- a/ochrecourse/bgp/fitness.py
+++ b/ochrecourse/bgp/fitness.py
@@ -57,6 +57,7 @@
     nodes_reached: int = 1
     jobs: int = 0
     written_off: float = 0.0
+    barren: int = 0  # jobs that the last second ended without fulfilling one
     open_share: float = 0.0
 
 
@@ -131,6 +132,8 @@
             told.append("no node is ready")
         elif not sight.nodes_reached:
             told.append("no node is reached")
+        if sight.barren >= LEAST_JOBS:
+            told.append(f"none of the last {sight.barren} jobs was fulfilled")
         if sight.open_share > self.figures.room:
             told.append("no room for more jobs")
         return tuple(told)
--- a/ochrecourse/bgp/watch.py
+++ b/ochrecourse/bgp/watch.py
@@ -6,25 +6,42 @@
 
 from collections import deque
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from ochrecourse.gateway.ledger import Closing
 
 SPAN = 5_000_000_000  # ns that count as recent; some hundreds of jobs on a working gateway
+SHORT = 1_000_000_000  # ns in which a gateway that serves fulfils at least one of many jobs
+
+
+class Recent(NamedTuple):
+    """Jobs answered in the recent while, the share written off or too late; and the same second's barren
+    ones.
+
+    `barren`: how many jobs the last second ended without fulfilling a single one; 0 if one was fulfilled.
+    """
+
+    jobs: int
+    written_off: float
+    barren: int
 
 
 class Watch:
     """Looks at counters that only grow, and keeps what they were a while ago."""
 
     def __init__(self) -> None:
-        self.looks: deque[tuple[int, int, int]] = deque()  # when, answered, written off or too late
+        self.looks: deque[tuple[int, int, int, int]] = deque()  # when, answered, bad, fulfilled
 
-    def look(self, closings: Mapping[Closing, int], now: int) -> tuple[int, float]:
-        """Jobs answered in the recent while, and the share of them that were written off or came too late."""
+    def look(self, closings: Mapping[Closing, int], now: int) -> Recent:
+        """Takes the counters as they are now."""
         bad = closings.get(Closing.WRITTEN_OFF, 0) + closings.get(Closing.TOO_LATE, 0)
-        whole = bad + closings.get(Closing.FULFILLED, 0) + closings.get(Closing.DENIED, 0)
-        self.looks.append((now, whole, bad))
+        good = closings.get(Closing.FULFILLED, 0)
+        whole = bad + good + closings.get(Closing.DENIED, 0)
+        self.looks.append((now, whole, bad, good))
         while self.looks[0][0] < now - SPAN:
             self.looks.popleft()
-        _, before, bad_before = self.looks[0]
+        _, before, bad_before, _ = self.looks[0]
         jobs = whole - before
-        return jobs, (bad - bad_before) / jobs if jobs else 0.0
+        since = next(each for each in self.looks if each[0] >= now - SHORT)
+        barren = whole - since[1] if good == since[3] else 0
+        return Recent(jobs, (bad - bad_before) / jobs if jobs else 0.0, barren)
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -125,7 +125,7 @@
         """What this gateway sees of itself now."""
         gateway, now = self.gateway, now_ns(self.network)
         ready = [node for node, entry in gateway.entries.items() if entry.health is Health.READY]
-        jobs, written_off = self.watch.look(gateway.ledger.closings, now)
+        recent = self.watch.look(gateway.ledger.closings, now)
         age = self.follower.view.age(now)
         return Sight(
             listening=self.listening is not None,
@@ -137,8 +137,9 @@
             list_fresh=age is not None,
             nodes_ready=len(ready),
             nodes_reached=gateway.reach.reached(ready, now),
-            jobs=jobs,
-            written_off=written_off,
+            jobs=recent.jobs,
+            written_off=recent.written_off,
+            barren=recent.barren,
             open_share=gateway.ledger.open / gateway.max_open,
         )
 
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -13,6 +13,8 @@
 from ochrecourse.bgp.codec import Attributes, Code, Decoder, Malformed, Notification, Update, encode
 from ochrecourse.bgp.fitness import Drain, DrainFigures, Fitness, FitnessFigures, Sight, Stage, Standing
 from ochrecourse.bgp.routes import Routes
+from ochrecourse.bgp.watch import Watch
+from ochrecourse.gateway.ledger import Closing
 from ochrecourse.bgp.session import SECOND, Dial, Drop, Peer, PeerFigures, Say, State
 
 V4 = ipaddress.ip_network("192.0.2.10/32")
@@ -374,7 +376,7 @@
 
 @pytest.mark.parametrize("wrong", [
     {"draining": True}, {"listening": False}, {"loop_late": SECOND}, {"has_list": False}, {"nodes_ready": 0, "nodes_reached": 0},
-    {"nodes_reached": 0}, {"open_share": 0.95},
+    {"nodes_reached": 0}, {"open_share": 0.95}, {"barren": 30},
 ])  # fmt: skip
 def test_what_is_wrong_with_the_gateway_withdraws_at_once(wrong):
     fitness = fit()
@@ -405,6 +407,18 @@
     assert fitness.rest == 3 * SECOND
 
 
+def test_a_second_without_a_fulfilled_job_is_barren_and_one_job_ends_it():
+    watch, told = Watch(), []
+    books = {Closing.FULFILLED: 5, Closing.DENIED: 0, Closing.WRITTEN_OFF: 0}
+    for i in range(30):
+        books[Closing.DENIED] += 4
+        books[Closing.WRITTEN_OFF] += i % 2
+        told.append(watch.look(books, i * SECOND // 10))
+    assert told[-1].barren == 45 and told[-1].jobs == 131 and round(told[-1].written_off, 2) == 0.11
+    books[Closing.FULFILLED] += 1
+    assert watch.look(books, 3 * SECOND).barren == 0
+
+
 def test_signs_that_come_and_go_change_nothing():
     fitness = fit()
     for i in range(600):
