Cycles are collected when no job is open or many connections have closed

The daemon now collects when no job is open, or when closed connections have left many cycles behind.

--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -23,7 +23,7 @@
     is held is answered in time, exit code 0. SIGHUP reads FILE again and takes over what may change.
     """
     record = read_or_exit(file)
-    from ochrecourse.cli.steady import calm_collector, raise_files, steady_reactor
+    from ochrecourse.cli.steady import Collector, raise_files, steady_reactor
 
     reactor = steady_reactor()
 
@@ -89,7 +89,7 @@
         at = daemon.door_listening.getHost()
         click.echo(f"webdav {at.host}:{at.port}")
     sys.stdout.flush()
-    calm_collector()
+    Collector(reactor, lambda: not daemon.gateway.ledger.open, lambda: daemon.front.closed)
     log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
     reactor.run(installSignalHandlers=False)
     log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
--- a/ochrecourse/cli/steady.py
+++ b/ochrecourse/cli/steady.py
@@ -6,6 +6,7 @@
 import resource
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.main import installReactor
@@ -26,15 +27,34 @@
     return reactor
 
 
-def calm_collector() -> None:
-    """Lets the collector of cycles run seldom over what lives long.
+TIDY = 10.0  # s between looks at whether cycles are worth collecting
+MANY = 5_000  # connections closed since the last collection; each leaves a few KiB in cycles
 
-    Guards against pauses of tens of ms: jobs keep entries until their promised time, and a full collection
-    walks all of them. Reference counts free nearly everything; cycles come from closed connections only.
+
+class Collector:
+    """Collects cycles when it costs no job its time, or when closed connections have left many.
+
+    Guards against pauses of tens of ms: jobs keep entries until their promised time, and the interpreter's
+    own collections walk all of them. Reference counts free nearly everything else.
     """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 50, 1000)
+
+    def __init__(self, reactor: Any, idle: Callable[[], bool], closed: Callable[[], int]) -> None:
+        """`idle`: whether no job is open; `closed`: connections closed so far."""
+        self.reactor = reactor
+        self.idle = idle
+        self.closed = closed
+        self.seen = 0
+        gc.collect()
+        gc.freeze()
+        gc.disable()
+        self.look()
+
+    def look(self) -> None:
+        left = self.closed() - self.seen
+        if left >= MANY or (left and self.idle()):
+            self.seen += left
+            gc.collect()
+        self.reactor.callLater(TIDY, self.look)
 
 
 def raise_files() -> int:
--- a/ochrecourse/gateway/front.py
+++ b/ochrecourse/gateway/front.py
@@ -194,6 +194,7 @@
 
     def closed(self, half: bool) -> None:
         self.factory.fronts.pop(self, None)
+        self.factory.closed += 1
         stop(self.greeting)
         if self.ended_by is not None:
             self.factory.counts[f"connections ended: {self.ended_by.code}"] += 1
@@ -217,6 +218,7 @@
         self.most = most
         self.fronts: dict[Front, None] = {}
         self.counts: Counter[str] = Counter()
+        self.closed = 0  # connections so far
 
     def buildProtocol(self, addr: Any) -> Front:
         return Front(self)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -91,6 +91,20 @@
     assert len({service_address(i) for i in range(1000)}) == 1000
 
 
+def test_cycles_are_collected_when_no_job_waits_or_many_connections_have_closed():
+    code = (
+        "import gc\nfrom ochrecourse.cli.steady import MANY, Collector\n"
+        "class Clock:\n    def callLater(self, delay, call): self.call = call\n"
+        "clock, state, made = Clock(), {'idle': False, 'closed': 0}, []\n"
+        "collector = Collector(clock, lambda: state['idle'], lambda: state['closed'])\n"
+        "assert not gc.isenabled(); gc.collect = lambda: made.append(1)\n"
+        "clock.call(); state['closed'] = 3; clock.call(); assert not made\n"
+        "state['idle'] = True; clock.call(); clock.call(); assert len(made) == 1\n"
+        "state.update(idle=False, closed=3 + MANY); clock.call(); assert len(made) == 2"
+    )
+    assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
+
+
 def test_the_daemons_clock_is_monotonic_so_a_wall_clock_that_steps_moves_no_timer():
     code = (
         "import time; from ochrecourse.cli.steady import steady_reactor; r = steady_reactor()\n"
