--- a/benchmarks/announcements.py
+++ b/benchmarks/announcements.py
@@ -55,7 +55,7 @@
     usual = play.bgp_record
     play.bgp_record = lambda day, index, port: {**usual(day, index, port), "fitness": fitness}
     troubles = [
-        Trouble(kind="pauses", at_s=10.0, len_s=280.0, part=0.5, size=150.0, extra=1.5),
+        Trouble(kind="pauses", at_s=10.0, len_s=280.0, part=0.6, size=900.0, extra=3.0),
         Trouble(kind="slow", at_s=40.0, len_s=60.0, part=0.25, size=4.0),
         Trouble(kind="fast_errors", at_s=120.0, len_s=40.0, part=0.25, size=0.5),
         Trouble(kind="burst", at_s=200.0, len_s=20.0, size=1.8),
--- a/ochrecourse/bgp/fitness.py
+++ b/ochrecourse/bgp/fitness.py
@@ -57,11 +57,13 @@
     nodes_reached: int = 1
     jobs: int = 0
     written_off: float = 0.0
-    barren: int = 0  # jobs that the last second ended without fulfilling one
+    lately: int = 0  # jobs that the last second answered
+    fulfilled: int = 0  # of these
     open_share: float = 0.0
 
 
 LEAST_JOBS = 20  # jobs on which a share of failures must rest
+RETURN_SHARE = 0.5  # of the last second's jobs that must be fulfilled before a return; less is no service
 
 
 class Fitness:
@@ -98,6 +100,10 @@
             self.bad_since = now if self.bad_since < 0 else self.bad_since
             if now - self.bad_since >= self.figures.lasts:
                 self._change(target, soft, now)
+        elif self.standing is Standing.WITHDRAWN and few(sight):
+            # Nodes that come back are met with few legs at first: what is denied meanwhile is no service yet.
+            self.good_since = self.bad_since = -1
+            self.reasons = (f"{sight.fulfilled} of the last {sight.lately} jobs were fulfilled",)
         elif target > self.standing:
             self.bad_since = -1
             self.good_since = now if self.good_since < 0 else self.good_since
@@ -132,8 +138,8 @@
             told.append("no node is ready")
         elif not sight.nodes_reached:
             told.append("no node is reached")
-        if sight.barren >= LEAST_JOBS:
-            told.append(f"none of the last {sight.barren} jobs was fulfilled")
+        if sight.lately >= LEAST_JOBS and not sight.fulfilled:
+            told.append(f"none of the last {sight.lately} jobs was fulfilled")
         if sight.open_share > self.figures.room:
             told.append("no room for more jobs")
         return tuple(told)
@@ -167,13 +173,16 @@
             self.rest = max(self.figures.rest, self.rest // 2)
 
 
+def few(sight: Sight) -> bool:
+    """Whether most jobs that still come are turned away. None sent: nothing speaks against a return."""
+    return sight.lately >= LEAST_JOBS and sight.fulfilled < RETURN_SHARE * sight.lately
+
+
 class Stage(IntEnum):
     """The order of a drain."""
 
     SERVING = 0
-    LAST_CHOICE = (
-        1  # announced with the graceful-shutdown community, so that traffic moves before the route goes
-    )
+    LAST_CHOICE = 1  # announced with the graceful-shutdown community, so that traffic moves before the route
     WITHDRAWN = 2  # the peers are given time to read and act on it
     FINISHING = 3  # what is held gets its answers
     LEFT = 4  # sessions end with a Cease
--- a/ochrecourse/bgp/watch.py
+++ b/ochrecourse/bgp/watch.py
@@ -15,15 +15,15 @@
 
 
 class Recent(NamedTuple):
-    """Jobs answered in the recent while, the share written off or too late; and the same second's barren
-    ones.
+    """Jobs answered in the recent while and the share of them written off or too late; then the last second.
 
-    `barren`: how many jobs the last second ended without fulfilling a single one; 0 if one was fulfilled.
+    `lately`: how many jobs the last second answered; `fulfilled`: how many of these it fulfilled.
     """
 
     jobs: int
     written_off: float
-    barren: int
+    lately: int
+    fulfilled: int
 
 
 class Watch:
@@ -43,5 +43,4 @@
         _, before, bad_before, _ = self.looks[0]
         jobs = whole - before
         since = next(each for each in self.looks if each[0] >= now - SHORT)
-        barren = whole - since[1] if good == since[3] else 0
-        return Recent(jobs, (bad - bad_before) / jobs if jobs else 0.0, barren)
+        return Recent(jobs, (bad - bad_before) / jobs if jobs else 0.0, whole - since[1], good - since[3])
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -139,7 +139,8 @@
             nodes_reached=gateway.reach.reached(ready, now),
             jobs=recent.jobs,
             written_off=recent.written_off,
-            barren=recent.barren,
+            lately=recent.lately,
+            fulfilled=recent.fulfilled,
             open_share=gateway.ledger.open / gateway.max_open,
         )
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -112,3 +112,17 @@
         "made = []; r.callLater(0.01, made.append, 1); r.callLater(0.02, r.stop); r.run(); assert made == [1]"
     )
     assert subprocess.run([sys.executable, "-c", code], timeout=30).returncode == 0
+
+
+def test_a_hold_time_that_expires_under_load_costs_no_job_and_the_address_comes_back():
+    day = msgspec.structs.replace(quiet(), length_s=6.0, load=0.9, nodes=4, gateways=2)
+    plays = [VirtualPlay(day, announces=True) for _ in range(2)]
+    ends = []
+    plays[1].peer.hold_time, plays[1].peer.silent, plays[1].peer.on_up = 3, True, ends.append
+    calm, expiring = (play.run() for play in plays)
+    assert plays[0].peer.sessions == 2 and plays[1].peer.sessions >= 6
+    assert {note[:2] for end in ends for note in end.notes} == {(4, 0)}
+    changes = [each for each in expiring.records if isinstance(each, r.Announced)]
+    assert changes[-1].up and sum(not each.up for each in changes) >= 4
+    assert audit(figures_of(day), expiring.records).kept()
+    assert expiring.outcomes.endings["fulfilled"] > 0.98 * calm.outcomes.endings["fulfilled"]
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -376,7 +376,7 @@
 
 @pytest.mark.parametrize("wrong", [
     {"draining": True}, {"listening": False}, {"loop_late": SECOND}, {"has_list": False}, {"nodes_ready": 0, "nodes_reached": 0},
-    {"nodes_reached": 0}, {"open_share": 0.95}, {"barren": 30},
+    {"nodes_reached": 0}, {"open_share": 0.95}, {"lately": 30, "fulfilled": 0},
 ])  # fmt: skip
 def test_what_is_wrong_with_the_gateway_withdraws_at_once(wrong):
     fitness = fit()
@@ -414,9 +414,25 @@
         books[Closing.DENIED] += 4
         books[Closing.WRITTEN_OFF] += i % 2
         told.append(watch.look(books, i * SECOND // 10))
-    assert told[-1].barren == 45 and told[-1].jobs == 131 and round(told[-1].written_off, 2) == 0.11
+    assert (told[-1].lately, told[-1].fulfilled) == (45, 0) and told[-1].jobs == 131 and round(told[-1].written_off, 2) == 0.11
     books[Closing.FULFILLED] += 1
-    assert watch.look(books, 3 * SECOND).barren == 0
+    assert watch.look(books, 3 * SECOND).fulfilled == 1
+
+
+def test_no_return_while_most_jobs_that_still_come_are_denied():
+    """Guards against an address that comes back with its nodes, while these are still met with few legs."""
+    fitness = fit()
+    fitness.look(Sight(nodes_reached=0), 4 * SECOND)
+    assert set(grown(fitness, Sight(lately=100, fulfilled=30), 5 * SECOND, 30)) == {Standing.WITHDRAWN}
+    assert fitness.reasons == ("30 of the last 100 jobs were fulfilled",)
+    assert grown(fitness, Sight(lately=100, fulfilled=60), 36 * SECOND, 7)[-1] is Standing.ANNOUNCED
+    assert set(grown(fitness, Sight(lately=100, fulfilled=30), 44 * SECOND, 5)) == {Standing.ANNOUNCED}
+
+
+def test_a_withdrawn_gateway_that_nobody_sends_to_comes_back():
+    fitness = fit()
+    fitness.look(Sight(nodes_reached=0), 4 * SECOND)
+    assert grown(fitness, Sight(lately=0, fulfilled=0), 5 * SECOND, 7)[-1] is Standing.ANNOUNCED
 
 
 def test_signs_that_come_and_go_change_nothing():
