--- a/ochrecourse/cli/logs.py
+++ b/ochrecourse/cli/logs.py
@@ -14,7 +14,7 @@
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.gateway.ledger import Closing, JobStory
 from ochrecourse.gateway.sampling import Sampling
-from ochrecourse.outside import MS, now_ns
+from ochrecourse.outside import MS, Clock, now_ns
 
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
@@ -112,3 +112,16 @@
             ],
             **({"lines_left_out": dropped} if dropped else {}),
         )
+
+
+class AccessLog:
+    """Writes one line a WebDAV request, sampled as the jobs' lines are: what did not go well comes first."""
+
+    def __init__(self, log: Any, sampling: Sampling, clock: Clock) -> None:
+        self.log = log
+        self.sampling = sampling
+        self.clock = clock
+
+    def __call__(self, **fields: Any) -> None:
+        if self.sampling.writes(fields["how"] in ("fulfilled", "done"), now_ns(self.clock)):
+            self.log.info("request", **fields)
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -31,7 +31,7 @@
 
     from ochrecourse.cli.admin import admin_site
     from ochrecourse.cli.control import serve_control
-    from ochrecourse.cli.logs import LEVELS, Aside, JobLog, set_up
+    from ochrecourse.cli.logs import LEVELS, AccessLog, Aside, JobLog, set_up
     from ochrecourse.gateway.daemon import Daemon
     from ochrecourse.gateway.sampling import Sampling
     from ochrecourse.settings.load import Refused, address, load
@@ -44,9 +44,9 @@
     sampling = Sampling(settings["log"]["sample"])
     files = raise_files()
     epoch = int(time.time() - time.monotonic())
-    daemon = Daemon(
-        settings, reactor, [JobLog(log, sampling)], log.warning, reactor.stop, log.info, epoch=epoch
-    )
+    access = AccessLog(log, sampling, reactor)
+    jobs = [JobLog(log, sampling)]
+    daemon = Daemon(settings, reactor, jobs, log.warning, reactor.stop, log.info, epoch=epoch, access=access)
 
     def reload() -> None:
         try:
@@ -89,7 +89,12 @@
         at = daemon.door_listening.getHost()
         click.echo(f"webdav {at.host}:{at.port}")
     sys.stdout.flush()
-    Collector(reactor, lambda: not daemon.gateway.ledger.open, lambda: daemon.front.closed)
+    door = daemon.door
+    Collector(
+        reactor,
+        lambda: not daemon.gateway.ledger.open,
+        lambda: daemon.front.closed + (door.closed if door is not None else 0),
+    )
     log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
     reactor.run(installSignalHandlers=False)
     log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -25,7 +25,9 @@
 from ochrecourse.settings.load import address
 from ochrecourse.settings.plain import plain_map
 from ochrecourse.webdav.door import Door
+from ochrecourse.webdav.limits import DoorFigures
 from ochrecourse.webdav.mapping import ProductRule, VolumeRule
+from ochrecourse.webdav.methods import Quota
 
 LAST_WORDS = 0.2  # s for the last answers to leave before the process ends
 
@@ -46,9 +48,10 @@
         told: Callable[..., None] | None = None,
         decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
         epoch: int = 0,
+        access: Callable[..., None] | None = None,
     ) -> None:
         """`gone` is called when it has left; `told` hears of what changes about service addresses; `epoch`: s
-        since 1970 at the clock's zero, for dates that clients see.
+        since 1970 at the clock's zero, for dates that clients see; `access` takes a WebDAV request's line.
         """
         self.record = record
         self.network = network
@@ -71,7 +74,7 @@
         kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
         self.follower = Follower(own["name"], network, where, self._news, kept, seed ^ 0x5DEECE66D, warn)
         self.listening: Any = None
-        self.door = door_of(record, self.gateway, network, epoch) if "webdav" in record else None
+        self.door = door_of(record, self.gateway, network, epoch, access) if "webdav" in record else None
         self.door_listening: Any = None
         self.watch = Watch()
         setup = setup_of(record)
@@ -105,12 +108,15 @@
         """Ends everything at once and says nothing, as the end of a process does."""
         if self.speaker is not None:
             self.speaker.kill()
-        if self.listening is not None:
-            self.listening.stopListening()
+        for port in (self.listening, self.door_listening):
+            if port is not None:
+                port.stopListening()
         self.gateway.stop()
         self.follower.stop()
         for front in list(self.front.fronts):
             front.cut()
+        for channel in list(self.door.channels) if self.door is not None else ():
+            channel.transport.abortConnection()
 
     def drain(self) -> None:
         """The way out. With service addresses they go first, as docs/bgp.md says; a second call skips that.
@@ -204,7 +210,15 @@
             for each in self.speaker.addresses:
                 told[f'bgp_standing{{network="{each.setup.network}"}}'] = int(each.fitness.standing)
                 told[f'bgp_changes_total{{network="{each.setup.network}"}}'] = each.fitness.changes
-        for source in (gateway.nodes.counts, self.front.counts, self.follower.counts):
+        sources = [gateway.nodes.counts, self.front.counts, self.follower.counts]
+        if self.door is not None:
+            told["webdav_connections"] = len(self.door.channels)
+            told["webdav_resources"] = self.door.tree.size
+            told["webdav_bytes"] = self.door.tree.used.total()
+            told["webdav_locks"] = len(self.door.methods.locks.by_token)
+            told["webdav_requests_waiting"] = len(self.door.waiting)
+            sources.append(self.door.counts)
+        for source in sources:
             for what, count in source.items():
                 told[f'events_total{{what="{what}"}}'] = count
         return told
@@ -215,6 +229,8 @@
     def _leave(self) -> None:
         if self.gateway.leaving.takes():
             self.front.say_bye()
+            if self.door is not None:
+                self.door.say_bye()
             self.gateway.left.append(self._left)
             self.gateway.drain()
 
@@ -232,10 +248,18 @@
     def _gone(self) -> None:
         """Jobs that were on their way when clients were told are still denied; then the connections close."""
         self.network.callLater(LAST_WORDS, self.front.close)
+        if self.door is not None:
+            self.network.callLater(LAST_WORDS, self.door.close)
         self.network.callLater(2 * LAST_WORDS, self.gone)
 
 
-def door_of(record: Mapping[str, Any], gateway: Gateway, network: Network, epoch: int) -> Door:
+def door_of(
+    record: Mapping[str, Any],
+    gateway: Gateway,
+    network: Network,
+    epoch: int,
+    access: Callable[..., None] | None,
+) -> Door:
     """The WebDAV door of a record; a request's time is its product's client timeout."""
     said = record["webdav"]
     timeouts = {each["name"]: each["client_timeout"] / 1000 for each in record["products"]}
@@ -244,8 +268,34 @@
         for each in said["products"]
     ]
     volumes = [VolumeRule(each["name"], each["plan"], each["gateways"]) for each in said["volumes"]]
-    unit, most, number = round(said["unit"]), record["units"]["most"], record["gateway"]["number"]
-    return Door(gateway, network, products, volumes, unit, most, number, epoch, lambda: uuid.uuid4().urn)
+    quota = Quota({each["name"]: round(each["quota"]) for each in said["volumes"] if each["quota"]})
+    limits = said["limits"]
+    figures = DoorFigures(
+        connections=limits["connections"],
+        header_bytes=round(limits["header"]),
+        headers=limits["headers"],
+        body=round(limits["body"]),
+        rate=limits["rate"],
+        burst=limits["burst"],
+        idle=round(limits["idle"] * MS),
+        head=round(limits["head"] * MS),
+        slowest=limits["slowest"],
+        grace=round(limits["grace"] * MS),
+    )
+    return Door(
+        gateway,
+        network,
+        products,
+        volumes,
+        round(said["unit"]),
+        record["units"]["most"],
+        record["gateway"]["number"],
+        epoch,
+        lambda: uuid.uuid4().urn,
+        figures,
+        quota,
+        access,
+    )
 
 
 def changes(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
--- a/ochrecourse/lab/virtual.py
+++ b/ochrecourse/lab/virtual.py
@@ -16,7 +16,7 @@
 
 from twisted.internet import error
 from twisted.internet.address import IPv4Address
-from twisted.internet.interfaces import ITransport
+from twisted.internet.interfaces import IPushProducer, ITransport
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -159,7 +159,7 @@
         self.network.ports.pop(self.port, None)
 
 
-@implementer(ITransport)
+@implementer(ITransport, IPushProducer)
 class VirtualTransport:
     """One end of a connection."""
 
--- a/ochrecourse/settings/schema.cue
+++ b/ochrecourse/settings/schema.cue
@@ -58,6 +58,7 @@
 	name:     *"" | string                    // first segment of the path; empty: every other one
 	plan:     string
 	gateways: *1 | (int & >=1)
+	quota:    *0B | (size & >=0B)             // bytes that its files may hold at this gateway; 0B: no limit
 }
 
 gateway: {
@@ -127,6 +128,18 @@
 	unit:     *64KiB | (size & >0B)           // a job counts one unit for each that is begun
 	products: [...#Request]                   // the first that fits
 	volumes:  [...#Volume]                    // the first that fits
+	limits: {
+		connections: *20000 | (int & >=1)
+		header:      *16KiB | (size & >=1KiB)    // request line and headers together
+		headers:     *100 | (int & >=1)
+		body:        *4GiB | (size & >=1KiB)     // of a PUT
+		rate:        *200/s | (rate & >0/s)      // requests of one connection
+		burst:       *400 | (number & >=1)
+		idle:        *1min | (duration & >0ms)   // between requests
+		head:        *10s | (duration & >0ms)    // for a request's headers to be whole
+		slowest:     *1KiB | (size & >=1B)       // of a body, each second, after `grace`
+		grace:       *10s | (duration & >0ms)
+	}
 }
 
 bgp?: {
--- a/ochrecourse/webdav/bodies.py
+++ b/ochrecourse/webdav/bodies.py
@@ -4,7 +4,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 from xml.etree.ElementTree import Element, ParseError, tostring
 from xml.sax.saxutils import escape
@@ -19,7 +20,9 @@
 
 LONGEST = 262_144  # bytes of a request body in XML; a long PROPPATCH fits
 DEEPEST = 32  # elements within each other
+MOST_SYNCED = 10_000  # members in one sync-collection answer; a client asks again from its token
 DAV = "{DAV:}"
+NONE: Mapping[str, str] = MappingProxyType({})
 HEAD = '<?xml version="1.0" encoding="utf-8"?>\n<D:multistatus xmlns:D="DAV:">\n'
 TAIL = "</D:multistatus>\n"
 
@@ -28,6 +31,14 @@
     """A body that can't be read; a 400 is due."""
 
 
+class WrongRoot(BadBody):
+    """A body of another kind than the method takes."""
+
+
+class UnknownReport(BadBody):
+    """A report that is not made here; a 403 with its precondition is due (RFC 3253 3.6)."""
+
+
 class Find(NamedTuple):
     """What a PROPFIND asks: all properties, their names only, or these names in Clark notation."""
 
@@ -36,6 +47,15 @@
     names: tuple[str, ...]
 
 
+class Sync(NamedTuple):
+    """What a sync-collection report asks (RFC 6578 6.1): since which token, how deep, at most how many."""
+
+    token: str
+    infinite: bool
+    most: int
+    names: tuple[str, ...]
+
+
 class Patch(NamedTuple):
     """What a PROPPATCH asks, by name in Clark notation; values are XML."""
 
@@ -58,7 +78,7 @@
     except (ParseError, DefusedXmlException, ValueError, LookupError) as trouble:
         raise BadBody(f"not XML that is taken here: {type(trouble).__name__}") from None
     if root.tag != DAV + name:
-        raise BadBody(f"the body is {root.tag}, not {DAV + name}")
+        raise WrongRoot(f"the body is {root.tag}, not {DAV + name}")
     level = [root]
     for _ in range(DEEPEST):
         level = [child for element in level for child in element]
@@ -82,6 +102,25 @@
     return Find(True, False, ())
 
 
+def sync_of(body: bytes) -> Sync:
+    """REPORT of a sync-collection (RFC 6578 6.1). Raises BadBody; UnknownReport for any other report."""
+    try:
+        root = _root(body, "sync-collection")
+    except WrongRoot as other:
+        raise UnknownReport(str(other)) from None
+    level = (root.findtext(DAV + "sync-level") or "").strip()
+    if level not in ("1", "infinite"):
+        raise BadBody("a sync-level is 1 or infinite")
+    prop = root.find(DAV + "prop")
+    if prop is None or root.find(DAV + "sync-token") is None:
+        raise BadBody("a sync-collection has a sync-token and a prop")
+    most = (root.findtext(f"{DAV}limit/{DAV}nresults") or str(MOST_SYNCED)).strip()
+    if not (most.isascii() and most.isdigit()) or not int(most):
+        raise BadBody("nresults is a number above 0")
+    token = (root.findtext(DAV + "sync-token") or "").strip()
+    return Sync(token, level == "infinite", min(int(most), MOST_SYNCED), tuple(child.tag for child in prop))
+
+
 def patch_of(body: bytes) -> Patch:
     """PROPPATCH (9.2), in document order: the last word on a name counts. Raises BadBody."""
     patch = Patch({}, [])
@@ -123,8 +162,7 @@
 
 
 def live(entry: Entry, locks: list[Lock], now: int, when: tuple[str, str]) -> dict[str, str]:
-    """The live properties of a resource (15), by name; `when`: its dates of creation and last change as text.
-    """
+    """The live properties of a resource (15), by name; `when`: its dates of creation and last change."""
     known = {
         "creationdate": escape(when[0]),
         "getlastmodified": escape(when[1]),
@@ -154,8 +192,15 @@
     )
 
 
-def response(path: Path, entry: Entry, asked: Find, known: dict[str, str]) -> str:
-    """One response of a 207 (9.1): what was found, and what was asked for and is not there."""
+def response(
+    path: Path, entry: Entry, asked: Find, known: dict[str, str], named: Mapping[str, str] = NONE
+) -> str:
+    """One response of a 207 (9.1): what was found, and what was asked for and is not there.
+
+    `named`: live properties that are told only to those who name them (RFC 4331 3, RFC 6578 4).
+    """
+    if asked.names:
+        known = {**known, **named}
     found, missing = [], []
     if asked.names:
         for name in asked.names:
@@ -180,6 +225,23 @@
     return f"<D:response><D:href>{where}</D:href>{inner}</D:response>\n"
 
 
+def gone(path: Path) -> str:
+    """One response of a sync-collection for what is no longer there (RFC 6578 3.4)."""
+    return (
+        f"<D:response><D:href>{escape(href(path, False))}</D:href>"
+        "<D:status>HTTP/1.1 404 Not Found</D:status></D:response>\n"
+    )
+
+
+def cut_short(path: Path) -> str:
+    """The response that says that more changed than is told here (RFC 6578 3.6)."""
+    return (
+        f"<D:response><D:href>{escape(href(path, True))}</D:href>"
+        "<D:status>HTTP/1.1 507 Insufficient Storage</D:status>"
+        "<D:error><D:number-of-matches-within-limits/></D:error></D:response>\n"
+    )
+
+
 def patched(path: Path, entry: Entry, names: Iterable[str], status: str) -> str:
     """The body of a PROPPATCH's answer: all names with one status, for it is done whole or not at all."""
     inner = _propstat([_element(name, "") for name in names], status)
--- a/ochrecourse/webdav/conditions.py
+++ b/ochrecourse/webdav/conditions.py
@@ -145,13 +145,11 @@
 
 
 def _apart(slices: list[Slice]) -> list[Slice]:
-    """Ranges that overlap are a waste or an attack (14.2): they are joined, in the order of the first."""
+    """In order, overlaps and neighbours joined: an answer streams through the object once (14.2)."""
     joined: list[Slice] = []
-    for each in slices:
-        for i, other in enumerate(joined):
-            if each.first <= other.last + 1 and other.first <= each.last + 1:
-                joined[i] = Slice(min(each.first, other.first), max(each.last, other.last))
-                break
+    for each in sorted(slices):
+        if joined and each.first <= joined[-1].last + 1:
+            joined[-1] = Slice(joined[-1].first, max(joined[-1].last, each.last))
         else:
             joined.append(each)
     return joined
--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -3,13 +3,14 @@
 What is right is decided in the modules beside it; this one reads headers and bodies, asks them, and writes. A
 GET or PUT becomes one job, and its answer one response: fulfilled 200, 201 or 204; denied 503 with
 Retry-After; written off 504. An answer that breaks off after its head was sent is cut, so that the client can
-tell.
+tell. What can be refused by a request's head is refused before its body is sent.
 """
 
 from __future__ import annotations
 
 import hashlib
 import io
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -18,17 +19,26 @@
 from zope.interface import implementer
 
 from ochrecourse.gateway import gateway as g
-from ochrecourse.outside import SECOND, Network, now_ns
+from ochrecourse.outside import MS, SECOND, Network, Timer, now_ns, stop
 from ochrecourse.webdav import bodies
+from ochrecourse.webdav.limits import Arrival, DoorFigures, Pace
 from ochrecourse.webdav.locks import Locks
 from ochrecourse.webdav.mapping import NoProduct, ProductRule, VolumeRule, job_of
+from ochrecourse.webdav.methods import XML, Asked, Methods, Quota, Reply
 from ochrecourse.webdav.namespace import Content, Entry, Namespace, Refused, Staged
-from ochrecourse.webdav.methods import XML, Asked, Methods, Reply
 from ochrecourse.webdav.resends import Resends, Same, What
 
-PIECE = 1 << 20  # bytes of a body read at once for its digest
-IDLE = 60  # s that a connection may be quiet between requests
 MEMBERS = 200  # responses of a PROPFIND made in one go; the rest waits for the transport
+SWEEP = 0.25  # s between looks at requests that are coming in
+LINGER = 1.0  # s for a client that was refused early to read that, before its connection ends
+SMALL = 1 << 16  # bytes of a body that is read before a refusal, so that its connection can stay
+TRACE = 64  # characters of a client's own name for a request
+WAITS = 0.9  # of a request's time that it waits for the same one before it; the rest is for its answer
+
+
+# Headers of a GET that go when no body comes.
+OF_THE_BODY = ("Content-Length", "Content-Range", "Content-Type", "ETag", "Last-Modified", "Accept-Ranges")
+BUSY = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
 class PutBody:
@@ -40,18 +50,13 @@
     def __init__(self, request: Dav) -> None:
         self.content, request.content = request.content, io.BytesIO()
         self.size = self.content.seek(0, io.SEEK_END)
+        self.digest = request.digest.hexdigest()
 
     def read(self, at: int, most: int) -> bytes:
         self.content.seek(at)
         data: bytes = self.content.read(most)
         return data
 
-    def digest(self) -> str:
-        told = hashlib.sha256()
-        for at in range(0, self.size, PIECE):
-            told.update(self.read(at, PIECE))
-        return told.hexdigest()
-
     def close(self) -> None:
         self.content.close()
 
@@ -60,41 +65,115 @@
 class Dav(Request):
     """One request."""
 
+    channel: Any  # a Channel
     door: Door
     content: Any  # the body, whole, in memory or a file
+    asked: Asked | None = None
     job: int | None = None
     number = 0
+    came = 0  # ns, when its headers were here
+    whole = 0  # ns, when its body was too: its client's wait counts from here
+    looked_at = False  # before its body came
+    how = ""  # it ended, for the access line
+    trace = ""
     blocked = False
-    began = False
     owed = 0
-    left = 0
-    skip = 0
+    at = 0  # of the object, that came so far
     staged: Staged | None = None
     size = 0  # of a body that is written
     kind = ""
     members: Iterator[str] | None = None
+    tail = b""
+    running: Same | None = None  # a GET that others must wait for
+    waits: Timer | None = None  # a GET that waits for one like it
+
+    # --- the head ---
+
+    def gotLength(self, length: int | None) -> None:
+        super().gotLength(length)
+        self.digest = hashlib.sha256()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        self.channel.arrival.got += len(data)
+        self.digest.update(data)
+        super().handleContentChunk(data)
+        self.size += len(data)
+        if self.size > self.door.figures.body:
+            self.refuse(Reply(413, f"a body of more than {self.door.figures.body} bytes"))
+
+    def head(self, door: Door, method: bytes, target: bytes, version: bytes) -> Asked:
+        """Takes the request's head; the same for one that is refused before its body comes."""
+        self.door, self.method, self.uri, self.clientproto = door, method, target, version
+        if self.asked is None:
+            door.count += 1
+            self.number, self.came = door.count, now_ns(door.network)
+            every = self.requestHeaders.getAllRawHeaders()
+            headers = {
+                name.decode("latin-1").lower(): b", ".join(said).decode("latin-1") for name, said in every
+            }
+            self.asked = Asked(method.decode("latin-1"), target.decode("latin-1"), headers)
+            self.trace = headers.get("x-request-id", "")[:TRACE] or f"http-{self.number}"
+            self.notifyFinish().addErrback(self._client_left)
+        return self.asked
+
+    def refused_early(self, length: int | None) -> Reply | None:
+        """What a request whose body is still to come is refused with, if its head is enough to know."""
+        door, asked = self.door, self.asked
+        assert asked is not None
+        now, self.looked_at = now_ns(door.network), True
+        try:
+            door.ask(self.channel.pace, now)
+            self._well_formed(asked)
+            if length is not None and length > (
+                door.figures.body if asked.method == "PUT" else bodies.LONGEST
+            ):
+                raise Reply(413, "the body is too large")
+            if asked.method == "PUT":
+                entry, tokens = door.methods.begin(asked, now)
+                door.methods.may_put(asked, entry, tokens, -1 if length is None else length, now)
+                if not door.gateway.leaving.takes():
+                    raise Reply(503, "this gateway is leaving", {"Retry-After": "1"})
+        except Reply as reply:
+            return reply
+        return None
+
+    def _well_formed(self, asked: Asked) -> None:
+        hosts = self.requestHeaders.getRawHeaders(b"host") or []
+        if len(hosts) > 1 or (not hosts and self.clientproto == b"HTTP/1.1"):
+            raise Reply(400, "one Host header is due")  # RFC 9112 3.2
+        expected = asked.said("expect").lower()
+        if expected and expected != "100-continue":
+            raise Reply(417, "100-continue is all that can be expected here")
+        if asked.said("content-encoding") and asked.method == "PUT":
+            raise Reply(415, "bodies are kept as they come, without a coding")
+
+    def refuse(self, reply: Reply) -> None:
+        """Answers while the body is still coming; the connection ends once the client could read that."""
+        if not self.channel.refused:
+            self.channel.refused = True
+            self.answer(reply.status, reply.body, reply.headers)
 
     def process(self) -> None:
-        self.door = self.channel.factory.door
-        self.door.count += 1
-        self.number = self.door.count
-        self.notifyFinish().addErrback(self._client_left)
-        method = self.method.decode("latin-1")
-        every = self.requestHeaders.getAllRawHeaders()
-        headers = {name.decode("latin-1").lower(): b", ".join(said).decode("latin-1") for name, said in every}
-        body = b"" if method in ("GET", "HEAD", "PUT") else self.content.read(bodies.LONGEST + 1)
-        asked = Asked(method, self.uri.decode("latin-1"), headers, body)
-        now = now_ns(self.door.network)
-        methods = self.door.methods
+        door = self.channel.factory.door
+        asked = self.head(door, self.method, self.uri, self.clientproto)
+        now, methods = now_ns(door.network), door.methods
+        self.whole = now
+        if asked.method not in ("GET", "HEAD", "PUT"):
+            asked.body = self.content.read(bodies.LONGEST + 1)
         try:
+            if not self.looked_at:
+                door.ask(self.channel.pace, now)
+                self._well_formed(asked)
             entry, tokens = methods.begin(asked, now)
-            if method in ("GET", "HEAD"):
-                self._get(asked, entry)
-            elif method == "PUT":
-                methods.may_put(asked, entry, tokens, now)
+            if asked.method in ("GET", "HEAD"):
+                self._get(asked, entry, now)
+            elif asked.method == "PUT":
+                methods.may_put(asked, entry, tokens, self.size, now)
                 self._put(asked, now)
-            elif method == "PROPFIND":
-                self._propfind(asked, entry, now)
+            elif asked.method == "PROPFIND":
+                self._listing(methods.listing(asked, entry, now))
+            elif asked.method == "REPORT":
+                self._listing(methods.report(asked, entry, now))
             else:
                 raise methods.do(asked, entry, tokens, now)
         except Reply as reply:
@@ -102,57 +181,108 @@
 
     # --- methods that are jobs ---
 
-    def _get(self, asked: Asked, entry: Entry | None) -> None:
+    def _get(self, asked: Asked, entry: Entry | None, now: int) -> None:
         found, sent, headers = self.door.methods.slice_of(asked, entry)
+        if self.method != b"HEAD" and found.content is not None and found.content.size:
+            said = asked.said("authorization"), asked.said("idempotency-key")
+            if any(said):
+                same = Same("GET", asked.path, *said, asked.said("range"))
+                if self.door.resends.came(same, self.number, now)[0] is What.JOINS:
+                    self._wait(asked, found.content.size)
+                    return
+                self.running = same
         for name, value in headers.items():
             self.setHeader(name, value)
         self.setResponseCode(sent.status)
-        self.skip, self.left = sent.first, sent.length
+        self.parts, self.tail = deque(sent.parts), sent.tail
         if self.method == b"HEAD" or found.content is None or not found.content.size:
-            self.finish()
+            self.end("fulfilled")
             return
-        self._ask(asked, found.content.size, found.content.key, found.content.shard, None)
+        try:
+            self._ask(asked, found.content.size, found.content.key, found.content.shard, None)
+        except Reply:
+            self._give_way(503)
+            raise
+
+    def _wait(self, asked: Asked, size: int) -> None:
+        """Waits for the same GET that is out; denied once it would be too late for its own client."""
+        self.door.waiting[self.number] = self
+        latest = self.whole + round(self._job(asked, size).timeout * WAITS * SECOND)
+        left = max(0, latest - now_ns(self.door.network))
+        self.waits = self.door.network.callLater(left / SECOND, self._waited)
+
+    def _waited(self) -> None:
+        self.waits = None
+        self.door.waiting.pop(self.number, None)
+        self.door.resends.left(self.number)
+        self.answer(503, "the same request is still under way", {"Retry-After": "1"}, "denied")
+
+    def again(self) -> None:
+        """The one that it waited for is over: it is a request like any other now."""
+        stop(self.waits)
+        self.waits = None
+        assert self.asked is not None
+        if self.finished or self._disconnected:
+            return
+        try:
+            now = now_ns(self.door.network)
+            self._get(self.asked, self.door.methods.begin(self.asked, now)[0], now)
+        except Reply as reply:
+            self.answer(reply.status, reply.body, reply.headers)
+
+    def _give_way(self, status: int) -> None:
+        """Those that waited for this one go on: a PUT's get its answer, a GET's run."""
+        self.running = None
+        self.door.over(self.number, status)
 
     def _put(self, asked: Asked, now: int) -> None:
         body = PutBody(self)
         self.kind = asked.said("content-type") or "application/octet-stream"
         mark = asked.said("idempotency-key")
-        same = Same("PUT", asked.path, asked.said("authorization"), mark, "" if mark else body.digest())
+        same = Same("PUT", asked.path, asked.said("authorization"), mark, "" if mark else body.digest)
         what, status = self.door.resends.came(same, self.number, now)
         if what is What.DENIED:
+            body.close()
             raise Reply(503, "another write to it is under way", {"Retry-After": "1"})
+        if what is not What.RUNS:
+            body.close()
         if what is What.AGAIN:
             raise Reply(status)
         if what is What.JOINS:
             self.door.waiting[self.number] = self
             return
         try:
-            self.staged, self.size = self.door.tree.stage(asked.path), body.size
+            self.staged = self.door.tree.stage(asked.path)
             self._ask(asked, body.size, self.door.key_of(self.staged), -1, body)
         except (Refused, Reply) as trouble:
             self.staged = None
+            body.close()
             self.door.over(self.number, trouble.status)
             raise trouble if isinstance(trouble, Reply) else Reply(trouble.status, str(trouble)) from None
 
-    def _ask(self, asked: Asked, size: int, key: int, shard: int, body: PutBody | None) -> None:
-        """Asks the gateway for the job of this request. Raises Reply."""
-        door, now = self.door, now_ns(self.door.network)
+    def _job(self, asked: Asked, size: int) -> Any:
+        """The job that this request is. Raises Reply."""
+        door = self.door
         try:
             tables = (door.products, door.volumes, door.unit, door.most_units)
-            job = job_of(asked.method, asked.path, size, asked.headers, *tables)
+            return job_of(asked.method, asked.path, size, asked.headers, *tables)
         except NoProduct as trouble:
             raise Reply(403, str(trouble)) from None
+
+    def _ask(self, asked: Asked, size: int, key: int, shard: int, body: PutBody | None) -> None:
+        """Asks the gateway for the job of this request. Raises Reply."""
+        door, job = self.door, self._job(asked, size)
         request = g.Request(
             product=job.product,
             plan=job.plan,
             volume=job.volume,
             timeout=round(job.timeout * SECOND),
-            read_at=now,
+            read_at=self.whole,
             key=key,
             units=job.units,
             shard=shard,
             gateways=job.gateways,
-            trace=f"http-{self.number}",
+            trace=self.trace,
             body=body if size else None,
         )
         self.job = door.gateway.next_number()
@@ -167,8 +297,7 @@
 
     def fulfilled(self, job: int, size: int, shard: int) -> None:
         if self.staged is None:
-            self.began = True
-            return
+            return  # a GET: its bytes come
         staged, self.staged, self.job = self.staged, None, None
         content = Content(self.door.key_of(staged), shard, self.size, "", self.kind)
         try:
@@ -179,53 +308,76 @@
             return
         status = 201 if made else 204
         self.door.over(self.number, status)
-        self.answer(status, "", {"ETag": entry.tag})
+        self.answer(status, "", {"ETag": entry.tag}, "fulfilled")
 
     def piece(self, job: int, data: bytes) -> None:
-        size = len(data)
-        if self.skip:
-            skipped = min(self.skip, size)
-            self.skip -= skipped
-            data = data[skipped:]
-        data = data[: self.left]
-        self.left -= len(data)
-        if data and not self._disconnected:
-            self.write(data)
-        if self.blocked:
-            self.owed += size
-        else:
-            self.door.gateway.room(job, size)
-        if not self.left and not self.finished and not self._disconnected:
+        if self.finished or self._disconnected:
+            self.door.gateway.room(job, len(data))
+            return
+        at, end = self.at, self.at + len(data)
+        self.at = end
+        while self.parts and self.parts[0].first < end:
+            first, last, head = self.parts[0]
+            if at <= first:
+                self.write(head)
+            self.write(data[max(first, at) - at : last + 1 - at])
+            if last >= end:
+                break
+            self.parts.popleft()
+        if not self.parts:
+            self.write(self.tail)
             self.job = None
             self.unregisterProducer()
-            self.finish()
+            self.end("fulfilled")
+            self.door.gateway.room(job, len(data))
+            self.door.gateway.leave(job)  # what lies beyond the last range is read by nobody
+        elif self.blocked:
+            self.owed += len(data)
+        else:
+            self.door.gateway.room(job, len(data))
 
     def broke_off(self, job: int) -> None:
         self.job = None
         if not self.finished and not self._disconnected:
+            self.how = "cut"
+            self._give_way(504)
             self.channel.loseConnection()  # the length that was told is not reached: the client can tell
 
     def denied(self, job: int, come_back: int) -> None:
-        self._ended(503, "turned away; trying again is harmless", come_back)
+        self._ended(503, "turned away; trying again is harmless", come_back, "denied")
 
     def written_off(self, job: int) -> None:
-        self._ended(504, "not served in time; whether it had an effect is not known", 0)
+        self._ended(504, "not served in time; whether it had an effect is not known", 0, "written off")
 
-    def _ended(self, status: int, text: str, come_back: int) -> None:
+    def _ended(self, status: int, text: str, come_back: int, how: str) -> None:
         self.job, self.staged = None, None
-        self.door.over(self.number, status)
-        for name in ("Content-Length", "Content-Range", "ETag", "Last-Modified"):
+        for name in (
+            "Content-Length",
+            "Content-Range",
+            "Content-Type",
+            "ETag",
+            "Last-Modified",
+            "Accept-Ranges",
+        ):
             self.responseHeaders.removeHeader(name)
         after = {"Retry-After": str(max(1, -(-come_back // SECOND)))} if status == 503 else {}
-        self.answer(status, text, after)
+        self.answer(status, text, after, how)
+        self.door.over(self.number, status)
 
     def _client_left(self, why: Any) -> None:
-        self.door.waiting.pop(self.number, None)
+        door = self.door
+        door.waiting.pop(self.number, None)
+        stop(self.waits)
+        self.waits = None
         keep = self.staged is not None  # a write goes on: the resend that comes must not stand beside it
-        self.door.resends.left(self.number)
+        door.resends.left(self.number)
+        self.how = self.how or "client left"
         if self.job is not None and not keep:
             job, self.job = self.job, None
-            self.door.gateway.leave(job)
+            door.gateway.leave(job)
+        if self.running is not None:
+            self._give_way(503)
+        door.log(self)
 
     def pauseProducing(self) -> None:
         self.blocked = True
@@ -243,8 +395,8 @@
 
     # --- a listing, piece by piece ---
 
-    def _propfind(self, asked: Asked, entry: Entry | None, now: int) -> None:
-        self.members = self.door.methods.listing(asked, entry, now)
+    def _listing(self, members: Iterator[str]) -> None:
+        self.members = members
         self.setResponseCode(207)
         self.setHeader("Content-Type", XML["Content-Type"])
         self.write(bodies.HEAD.encode())
@@ -265,11 +417,13 @@
         self.members = None
         self.unregisterProducer()
         self.write(bodies.TAIL.encode())
-        self.finish()
+        self.end("done")
 
     # --- the answer ---
 
-    def answer(self, status: int, body: str = "", headers: dict[str, str] | None = None) -> None:
+    def answer(
+        self, status: int, body: str = "", headers: dict[str, str] | None = None, how: str = ""
+    ) -> None:
         """The request's one response."""
         if self.finished or self._disconnected:
             return
@@ -279,6 +433,9 @@
         for name, value in (headers or {}).items():
             if value:
                 self.setHeader(name, value)
+        if self.channel.refused:
+            self.setHeader("Connection", "close")
+        self._closing()
         if status not in (204, 304):
             data = body.encode()
             self.setHeader("Content-Length", str(len(data)))
@@ -286,18 +443,145 @@
                 self.setHeader("Content-Type", "text/plain; charset=utf-8")
             if data and self.method != b"HEAD":
                 self.write(data)
+        self.end(how or ("done" if status < 400 else "refused"))
+
+    def end(self, how: str) -> None:
+        """The last byte of the response is written."""
+        self.how = how
+        if not self.startedWriting:
+            self._closing()
+        if self.running is not None:
+            self._give_way(200)
         self.finish()
 
+    def _closing(self) -> None:
+        """While the gateway leaves, each answer ends its connection."""
+        if not self.door.gateway.leaving.takes():
+            self.setHeader("Connection", "close")
+            self.channel.persistent = False
+
 
 class Channel(HTTPChannel):
+    """One connection. `arrival` is the request that is coming in, None between requests."""
+
     requestFactory = Dav
+    factory: Door
+    transport: Any
+    _path: Any
+    _command: Any
+    _version: Any
+    refused = False  # a request was answered before its body came: what follows is read and forgotten
+    arrival: Arrival | None = None
+
+    def connectionMade(self) -> None:
+        door = self.factory
+        self.pace = Pace(door.figures.burst, now_ns(door.network))
+        self.totalHeadersSize, self.maxHeaders = door.figures.header_bytes, door.figures.headers
+        self.MAX_LENGTH = door.figures.header_bytes
+        self.open = len(door.channels) < door.figures.connections
+        super().connectionMade()
+        if not self.open:
+            door.counts["connections over the cap"] += 1
+            self.transport.write(BUSY)
+            self.loseConnection()
+            return
+        door.channels[self] = None
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.refused or not self.open:
+            return
+        if self.arrival is None and not self._handlingRequest:
+            self._coming()
+        super().dataReceived(data)
+
+    def _coming(self) -> None:
+        self.arrival = Arrival(now_ns(self.factory.network))
+        self.factory.arriving[self] = self.arrival
+        self.factory.sweep()
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.refused:
+            return
+        if line[:1] in (b" ", b"\t"):
+            # A folded header (RFC 9112 5.2): two readers may see two different requests.
+            self._respondToBadRequestAndDisconnect()
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._bad(b"431 Request Header Fields Too Large")
+
+    def allHeadersReceived(self) -> None:
+        request: Dav = self.requests[-1]
+        request.head(self.factory, self._command, self._path, self._version)
+        expects = request.requestHeaders.hasHeader(b"expect")
+        if self.length is None or self.length > SMALL or (self.length and expects):
+            reply = request.refused_early(self.length)
+            if reply is not None:
+                request.content = io.BytesIO()
+                request.refuse(reply)
+                return
+        super().allHeadersReceived()
+        assert self.arrival is not None
+        self.arrival.in_body, self.arrival.since = True, now_ns(self.factory.network)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if not self.refused:
+            super().rawDataReceived(data)
+
+    def allContentReceived(self) -> None:
+        self._arrived()
+        super().allContentReceived()
+
+    def _arrived(self) -> None:
+        self.arrival = None
+        self.factory.arriving.pop(self, None)
+
+    def requestDone(self, request: Request) -> None:
+        if not self.refused:
+            super().requestDone(request)
+            if self._buffer and not self._handlingRequest and self.arrival is None:
+                self._coming()
+            return
+        self._arrived()
+        self.requests.clear()
+        self.factory.network.callLater(LINGER, self.loseConnection)
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        large = (
+            self._receivedHeaderSize > self.totalHeadersSize or self._receivedHeaderCount > self.maxHeaders
+        )
+        self._bad(b"431 Request Header Fields Too Large" if large else b"400 Bad Request")
+
+    def _bad(self, status: bytes) -> None:
+        """What can't be read as a request ends the connection; nothing after it is read."""
+        if self.refused:
+            return
+        self.refused = True
+        self._arrived()
+        self.factory.counts[f"not requests: {status[:3].decode()}"] += 1
+        self.transport.write(b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        for request in self.requests:
+            request.how = "refused"
+        self.factory.network.callLater(LINGER, self.loseConnection)
+
+    def too_slow(self) -> None:
+        self.factory.counts["ended for sending too slowly"] += 1
+        self._bad(b"408 Request Timeout")
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self._arrived()
+        self.factory.channels.pop(self, None)
+        self.factory.closed += 1
+        super().connectionLost(reason)
 
 
 class Door(HTTPFactory):
     """The door of one gateway: its tree, its locks, and the tables by which requests become jobs.
 
     `number` of the gateway keeps the keys of its objects apart from those of others; `epoch`: s since 1970 at
-    the clock's zero, for dates only; `new_token` gives unguessable lock tokens.
+    the clock's zero, for dates only; `new_token` gives unguessable lock tokens; `access` takes the fields of
+    each request's line.
     """
 
     noisy = False
@@ -314,8 +598,11 @@
         number: int,
         epoch: int,
         new_token: Callable[[], str],
+        figures: DoorFigures,
+        quota: Quota = Quota({}),  # noqa: B008
+        access: Callable[..., None] | None = None,
     ) -> None:
-        super().__init__(timeout=IDLE, reactor=network)  # type: ignore[arg-type]
+        super().__init__(timeout=figures.idle / SECOND, reactor=network)  # type: ignore[arg-type]
         self.door = self
         self.gateway = gateway
         self.network = network
@@ -324,22 +611,80 @@
         self.unit = unit
         self.most_units = most_units
         self.number = number
+        self.figures = figures
+        self.access = access
         self.tree = Namespace(now_ns(network))
-        self.methods = Methods(self.tree, Locks(new_token), epoch)
+        self.methods = Methods(self.tree, Locks(new_token), epoch, quota)
         self.resends = Resends()
         self.waiting: dict[int, Dav] = {}
+        self.channels: dict[Channel, None] = {}
+        self.arriving: dict[Channel, Arrival] = {}
+        self.counts: Counter[str] = Counter()
         self.count = 0
+        self.closed = 0  # connections so far
+        self._sweep: Timer | None = None
+
+    def ask(self, pace: Pace, now: int) -> None:
+        """A connection's next request. Raises Reply if it comes too soon."""
+        wait = pace.ask(self.figures, now)
+        if wait:
+            raise Reply(429, "too many requests on this connection", {"Retry-After": str(-(-wait // SECOND))})
+
+    def sweep(self) -> None:
+        """Ends connections whose requests come in too slowly, as long as any is coming in."""
+        if self._sweep is None:
+            self._sweep = self.network.callLater(SWEEP, self._swept)
+
+    def _swept(self) -> None:
+        self._sweep = None
+        now = now_ns(self.network)
+        for channel, arrival in list(self.arriving.items()):
+            if arrival.too_slow(self.figures, now):
+                channel.too_slow()
+        if self.arriving:
+            self.sweep()
 
     def log(self, request: Any) -> None:
-        """The gateway writes the lines of jobs; an access line of its own comes with the rest of the door."""
+        """A request's line, once its response is written or its client has left."""
+        asked = request.asked
+        if asked is None or request.how == "told":
+            return
+        how, request.how = request.how, "told"
+        self.counts[f"requests: {how}"] += 1
+        if self.access is not None:
+            self.access(
+                how=how,
+                method=asked.method,
+                path=asked.target,
+                status=request.code if request.startedWriting else 0,
+                bytes_in=request.size,
+                bytes_out=request.sentLength,
+                ms=round((now_ns(self.network) - request.came) / MS, 3),
+                trace=request.trace,
+            )
+
+    def say_bye(self) -> None:
+        """The gateway leaves: connections without a request end now, the others with their answers."""
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.loseConnection()
+
+    def close(self) -> None:
+        """Closes all connections once what was written to them has gone out."""
+        for channel in list(self.channels):
+            channel.loseConnection()
 
     def key_of(self, staged: Staged) -> int:
         """The key under which nodes hold a version: never the same for two of them, nor for two gateways."""
         return (self.number + 1 << 40) + staged.key
 
     def over(self, number: int, status: int) -> None:
-        """A write has its answer: those that joined it get the same."""
+        """A request that others waited for is over: a write's answer is theirs, a read lets one go on."""
         for other in self.resends.over(number, status, now_ns(self.network)):
             waiting = self.waiting.pop(other, None)
-            if waiting is not None:
-                waiting.answer(status, "", {"Retry-After": "1"} if status == 503 else {})
+            if waiting is None:
+                continue
+            if waiting.method == b"GET":
+                self.network.callLater(0, waiting.again)
+            else:
+                waiting.answer(status, "", {"Retry-After": "1"} if status == 503 else {}, "joined")
--- a/ochrecourse/webdav/locks.py
+++ b/ochrecourse/webdav/locks.py
@@ -76,8 +76,7 @@
     def take(
         self, path: Path, exclusive: bool, infinite: bool, owner: str, principal: str, timeout: int, now: int
     ) -> Lock:
-        """A new lock (9.10.1). Raises Conflict, TooMany. `timeout` in ns; longer ones are cut to the longest.
-        """
+        """A new lock (9.10.1). Raises Conflict, TooMany. `timeout` in ns; at most the longest is given."""
         self.expire(now)
         standing = self.covering(path) + (
             [lock for lock in self.below(path) if lock.root != path] if infinite else []
--- a/ochrecourse/webdav/methods.py
+++ b/ochrecourse/webdav/methods.py
@@ -6,20 +6,23 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from email.utils import formatdate
+from itertools import islice
 from typing import NamedTuple, TypeVar
 
 from ochrecourse.outside import SECOND
 from ochrecourse.webdav import bodies, conditions
 from ochrecourse.webdav.locks import Conflict, Locks, TooMany
-from ochrecourse.webdav.namespace import Entry, Namespace, Refused
+from ochrecourse.webdav.namespace import Changed, Entry, Namespace, Refused
 from ochrecourse.webdav.paths import BadPath, Path, destination, parse
 
-METHODS = "OPTIONS, GET, HEAD, PUT, DELETE, MKCOL, COPY, MOVE, PROPFIND, PROPPATCH, LOCK, UNLOCK"
+METHODS = "OPTIONS, GET, HEAD, PUT, DELETE, MKCOL, COPY, MOVE, PROPFIND, PROPPATCH, LOCK, UNLOCK, REPORT"
 XML = {"Content-Type": 'application/xml; charset="utf-8"'}
 USUAL_LOCK = 600 * SECOND  # ns that a lock lasts if its client names no time; long enough for one sitting
+REPORTS = "<D:supported-report><D:report><D:sync-collection/></D:report></D:supported-report>"
 T = TypeVar("T")
 MONTHS = "JanFebMarAprMayJunJulAugSepOctNovDec"
 LONGEST_NAMED = 10**6  # s of a Timeout header that are read as a number
@@ -48,21 +51,40 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
-class Slice(NamedTuple):
-    """What a GET sends: `first` byte, how many, and the status."""
+class Part(NamedTuple):
+    """Bytes of the object from `first` to `last`, both included, and what is sent before them."""
 
     first: int
-    length: int
+    last: int
+    head: bytes
+
+
+class Sent(NamedTuple):
+    """What a GET sends: its status, parts of the object in order, and what comes after them."""
+
     status: int
+    parts: tuple[Part, ...]
+    tail: bytes
+
+
+class Quota(NamedTuple):
+    """Bytes that the volumes may hold, by first segment; one that is not named has no limit."""
+
+    limits: Mapping[str, int]
+
+    def left(self, tree: Namespace, path: Path) -> int | None:
+        limit = self.limits.get(path[0]) if path else None
+        return None if limit is None else max(0, limit - tree.used[path[0]])
 
 
 class Methods:
     """The methods over one tree and its locks. `epoch`: s since 1970 at the clock's zero."""
 
-    def __init__(self, tree: Namespace, locks: Locks, epoch: int) -> None:
+    def __init__(self, tree: Namespace, locks: Locks, epoch: int, quota: Quota = Quota({})) -> None:  # noqa: B008
         self.tree = tree
         self.locks = locks
         self.epoch = epoch
+        self.quota = quota
         self.table: dict[str, Callable[[Asked, Entry | None, frozenset[str], int], Reply]] = {
             "DELETE": self._delete,
             "MKCOL": self._mkcol,
@@ -87,8 +109,7 @@
         return entry, _told(lambda: self._conditions(asked, entry))
 
     def do(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> Reply:
-        """Carries out a method of the table. Raises Reply if it can't be done, in which case nothing changed.
-        """
+        """Carries out a method of the table. Raises Reply if it can't be done; then nothing changed."""
         return _told(lambda: self.table[asked.method](asked, entry, tokens, now))
 
     def expire(self, now: int) -> None:
@@ -102,16 +123,21 @@
 
     # --- what GET, PUT and PROPFIND ask before they go on ---
 
-    def may_put(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> None:
-        """Raises Reply unless a PUT may begin."""
+    def may_put(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], size: int, now: int) -> None:
+        """Raises Reply unless a PUT of so many bytes (below 0: not known yet) may begin."""
         if asked.said("content-range"):
             raise Reply(400, "a PUT of a part is not taken")
+        if asked.path and size > 0:
+            old = entry.content.size if entry is not None and entry.content is not None else 0
+            left = self.quota.left(self.tree, asked.path)
+            if left is not None and size - old > left:
+                raise Reply(507, bodies.error("quota-not-exceeded"), XML)
         if entry is None:
             _told(lambda: self._write_member(asked, asked.path, tokens, now))
         else:
             _told(lambda: self._write(asked, asked.path, tokens, now))
 
-    def slice_of(self, asked: Asked, entry: Entry | None) -> tuple[Entry, Slice, dict[str, str]]:
+    def slice_of(self, asked: Asked, entry: Entry | None) -> tuple[Entry, Sent, dict[str, str]]:
         """What a GET or HEAD sends, and its headers. Raises Reply."""
         if entry is None:
             raise Reply(404)
@@ -124,18 +150,43 @@
             "Content-Type": entry.content.kind if entry.content else "application/octet-stream",
             "Last-Modified": formatdate(entry.modified / SECOND + self.epoch, usegmt=True),
         }
-        sent = Slice(0, size, 200)
+        slices = None
         if conditions.range_applies(asked.headers, self._resource(entry)):
             slices = conditions.ranges_of(asked.said("range"), size)
-            if slices == []:
-                raise Reply(416, "", {"Content-Range": f"bytes */{size}"})
-            if slices is not None and len(slices) == 1:  # several ranges: the whole is sent, as 14.2 allows
-                first, last = slices[0]
-                sent = Slice(first, last - first + 1, 206)
-                headers["Content-Range"] = f"bytes {first}-{last}/{size}"
-        headers["Content-Length"] = str(sent.length)
+        if slices == []:
+            raise Reply(416, "", {"Content-Range": f"bytes */{size}"})
+        if not slices:
+            sent = Sent(200, (Part(0, size - 1, b""),) if size else (), b"")
+        elif len(slices) == 1:
+            first, last = slices[0]
+            sent = Sent(206, (Part(first, last, b""),), b"")
+            headers["Content-Range"] = f"bytes {first}-{last}/{size}"
+        else:
+            sent = self._several(slices, size, headers)
+        length = sum(part.last - part.first + 1 + len(part.head) for part in sent.parts) + len(sent.tail)
+        headers["Content-Length"] = str(length)
         return entry, sent, headers
 
+    def _several(self, slices: list[conditions.Slice], size: int, headers: dict[str, str]) -> Sent:
+        """Several ranges as multipart/byteranges (RFC 9110 14.6). The boundary is the entity tag, which no
+        other version has, with more to keep it from standing in ordinary text.
+        """
+        boundary = f"ochrecourse-{headers['ETag'].strip(chr(34))}-{size:x}"
+        kind = headers["Content-Type"]
+        headers["Content-Type"] = f"multipart/byteranges; boundary={boundary}"
+        parts = tuple(
+            Part(
+                first,
+                last,
+                (
+                    f"\r\n--{boundary}\r\nContent-Type: {kind}\r\n"
+                    f"Content-Range: bytes {first}-{last}/{size}\r\n\r\n"
+                ).encode(),
+            )
+            for first, last in slices
+        )
+        return Sent(206, parts, f"\r\n--{boundary}--\r\n".encode())
+
     def listing(self, asked: Asked, entry: Entry | None, now: int) -> Iterator[str]:
         """The responses of a PROPFIND (9.1), made as they are taken. Raises Reply."""
         if entry is None:
@@ -145,12 +196,75 @@
             raise Reply(403, bodies.error("propfind-finite-depth"), XML)
         return self._responses(asked.path, int(depth), _told(lambda: bodies.find_of(asked.body)), now)
 
+    def report(self, asked: Asked, entry: Entry | None, now: int) -> Iterator[str]:
+        """The responses of a sync-collection (RFC 6578 3), its token last. Raises Reply."""
+        if entry is None:
+            raise Reply(404)
+        wanted = _told(lambda: bodies.sync_of(asked.body))
+        if self._depth(asked, "0") != "0":
+            raise Reply(400, "a sync-collection has depth 0")
+        if not entry.is_collection():
+            raise Reply(403, bodies.error("supported-report"), XML)
+        find = bodies.Find(False, False, wanted.names)
+        if not wanted.token:
+            deep = -1 if wanted.infinite else 1
+            if sum(1 for _ in islice(self.tree.walk(asked.path, deep), wanted.most + 2)) > wanted.most + 1:
+                # A first listing has no order of changes to cut it by: it is told whole or not at all.
+                raise Reply(507, bodies.error("number-of-matches-within-limits"), XML)
+            return self._first_sync(asked.path, find, deep, now)
+        head, _, version = wanted.token.rpartition("/")
+        changed = None
+        if head == self._sync_head(asked.path) and version.isascii() and version.isdigit():
+            changed = self.tree.changed_since(int(version), asked.path, wanted.infinite, wanted.most)
+        if changed is None:
+            raise Reply(403, bodies.error("valid-sync-token"), XML)
+        return self._changes(asked.path, find, changed, now)
+
+    def _sync_head(self, path: Path) -> str:
+        """Tokens are of one collection in one life of the tree (its root's creation)."""
+        return f"urn:ochrecourse:sync:{self.tree.root.created:x}:{zlib.crc32(repr(path).encode()):x}"
+
+    def _token(self, path: Path, version: int) -> str:
+        return f"{self._sync_head(path)}/{version}"
+
+    def _first_sync(self, path: Path, find: bodies.Find, deep: int, now: int) -> Iterator[str]:
+        upto = self.tree.version
+        for at, entry in self.tree.walk(path, deep):
+            if at != path:
+                yield self._response(at, entry, find, now)
+        yield f"<D:sync-token>{self._token(path, upto)}</D:sync-token>\n"
+
+    def _changes(self, path: Path, find: bodies.Find, changed: Changed, now: int) -> Iterator[str]:
+        for at in changed.paths:
+            entry = self.tree.find(at)
+            yield bodies.gone(at) if entry is None else self._response(at, entry, find, now)
+        if changed.cut:
+            yield bodies.cut_short(path)
+        yield f"<D:sync-token>{self._token(path, changed.upto)}</D:sync-token>\n"
+
+    def _named(self, path: Path, entry: Entry) -> dict[str, str]:
+        """Properties told only to those who name them: quota (RFC 4331), sync-token, reports (RFC 6578)."""
+        if not entry.is_collection():
+            return {}
+        told = {
+            "quota-used-bytes": str(self.tree.used[path[0]] if path else sum(self.tree.used.values())),
+            "sync-token": self._token(path, self.tree.version),
+            "supported-report-set": REPORTS,
+        }
+        left = self.quota.left(self.tree, path)
+        return told if left is None else {**told, "quota-available-bytes": str(left)}
+
+    def _response(self, at: Path, entry: Entry, wanted: bodies.Find, now: int) -> str:
+        made = _internet_date(entry.created // SECOND + self.epoch)
+        changed = formatdate(entry.modified / SECOND + self.epoch, usegmt=True)
+        known = bodies.live(entry, self.locks.covering(at), now, (made, changed))
+        return bodies.response(
+            at, entry, wanted, known, self._named(at, entry) if wanted.names else bodies.NONE
+        )
+
     def _responses(self, path: Path, depth: int, wanted: bodies.Find, now: int) -> Iterator[str]:
         for at, entry in self.tree.walk(path, depth):
-            made = _internet_date(entry.created // SECOND + self.epoch)
-            changed = formatdate(entry.modified / SECOND + self.epoch, usegmt=True)
-            known = bodies.live(entry, self.locks.covering(at), now, (made, changed))
-            yield bodies.response(at, entry, wanted, known)
+            yield self._response(at, entry, wanted, now)
 
     # --- headers ---
 
@@ -228,6 +342,7 @@
         if depth == "1":
             raise Reply(400, "a COPY has depth 0 or infinity")
         target, overwrite = self._target(asked, tokens, now)
+        self._fits(entry, target)
         made, _ = self.tree.copy(asked.path, target, depth != "0", overwrite, now)
         return Reply(201 if made else 204)
 
@@ -236,10 +351,17 @@
             raise Reply(400, "a MOVE has depth infinity")
         self._write_member(asked, asked.path, tokens, now, members=True)
         target, overwrite = self._target(asked, tokens, now)
+        if target[:1] != asked.path[:1]:
+            self._fits(entry, target)
         made, _ = self.tree.move(asked.path, target, overwrite)
         self.locks.forget_tree(asked.path)  # locks don't move (7.6)
         return Reply(201 if made else 204)
 
+    def _fits(self, entry: Entry | None, target: Path) -> None:
+        left = self.quota.left(self.tree, target)
+        if left is not None and entry is not None and entry.weight() > left:
+            raise Reply(507, bodies.error("quota-not-exceeded"), XML)
+
     def _target(self, asked: Asked, tokens: frozenset[str], now: int) -> tuple[Path, bool]:
         """Where a COPY or MOVE goes, once no lock is in the way there, and whether it may replace."""
         target = destination(asked.said("destination"), asked.said("host")).path
@@ -308,6 +430,8 @@
         return call()
     except (BadPath, Refused) as trouble:
         raise Reply(trouble.status, str(trouble)) from None
+    except bodies.UnknownReport:
+        raise Reply(403, bodies.error("supported-report"), XML) from None
     except (conditions.BadCondition, bodies.BadBody) as trouble:
         raise Reply(400, str(trouble)) from None
     except Conflict as trouble:
--- a/ochrecourse/webdav/namespace.py
+++ b/ochrecourse/webdav/namespace.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ochrecourse.webdav.paths import Path, inside
 
@@ -57,6 +58,11 @@
     def is_collection(self) -> bool:
         return self.members is not None
 
+    def weight(self) -> int:
+        """Bytes of its files, all below included."""
+        own = self.content.size if self.content else 0
+        return own + sum(member.weight() for member in (self.members or {}).values())
+
 
 @dataclass(slots=True)
 class Staged:
@@ -67,6 +73,14 @@
     found: str | None
 
 
+class Changed(NamedTuple):
+    """Paths that changed; `upto`: the version that a client knows then; `cut`: there is more."""
+
+    paths: list[Path]
+    upto: int
+    cut: bool
+
+
 class Namespace:
     """One tree. `size` counts its resources, the root too."""
 
@@ -75,7 +89,7 @@
         self.keys = 0
         self.most = most
         self.size = 1
-        self.bytes = 0
+        self.used: Counter[str] = Counter()  # bytes of files, by first segment
         self.root = Entry(self._tag(), now, now, members={})
         self.changes: deque[tuple[int, Path, bool]] = deque()  # version, path, whether it is there
         self.forgotten = 0  # the newest version of which changes were dropped
@@ -108,17 +122,22 @@
                 below = sorted(entry.members.items(), reverse=True)
                 waiting += [((*at, name), member, left - 1) for name, member in below]
 
-    def changed_since(self, version: int, path: Path) -> list[tuple[Path, bool]] | None:
-        """What changed below a path after a version: each path once, and whether it is there now; None: too
-        old.
+    def changed_since(self, version: int, path: Path, infinite: bool, most: int) -> Changed | None:
+        """What changed below a path after a version, each path once, oldest last changes first; None: too
+        old or never given. Members of a collection that is new to the client are among the changes.
         """
         if version < self.forgotten or version > self.version:
             return None
-        seen: dict[Path, bool] = {}
-        for at, changed, _ in self.changes:
-            if at > version and inside(changed, path):
-                seen[changed] = self.find(changed) is not None
-        return list(seen.items())
+        last: dict[Path, int] = {}
+        for at, changed, _ in reversed(self.changes):
+            if at <= version:
+                break
+            near = len(changed) == len(path) + 1
+            if changed not in last and inside(changed, path) and (near or (infinite and changed != path)):
+                last[changed] = at
+        found = sorted(((at, changed) for changed, at in last.items()))
+        upto = found[most - 1][0] if len(found) > most else self.version
+        return Changed([changed for _, changed in found[:most]], upto, len(found) > most)
 
     # --- writing ---
 
@@ -150,7 +169,7 @@
             assert parent.members is not None
             parent.members[staged.path[-1]] = entry
             self.size += 1
-        self.bytes += content.size - (entry.content.size if entry.content else 0)
+        self.used[staged.path[0]] += content.size - (entry.content.size if entry.content else 0)
         made = made or entry.empty
         entry.tag, entry.modified, entry.content, entry.empty = self._tag(), now, content, False
         self._changed(staged.path, entry)
@@ -222,7 +241,7 @@
             self._note(at, False)
         del parent.members[source[-1]]
         self.size -= self._count(entry)
-        self.bytes -= self._weight(entry)
+        self.used[source[0]] -= entry.weight()
         freed = self._put(target, entry)
         return made, freed
 
@@ -260,7 +279,7 @@
         assert parent.members is not None
         parent.members[target[-1]] = entry
         self.size += self._count(entry)
-        self.bytes += self._weight(entry)
+        self.used[target[0]] += entry.weight()
         for at, each in list(self.walk(target, -1)):
             self._changed(at, each)
         return freed
@@ -279,7 +298,7 @@
             if each.content is not None:
                 freed.append(each.content)
         self.size -= self._count(entry)
-        self.bytes -= self._weight(entry)
+        self.used[path[0]] -= entry.weight()
         return freed
 
     def _parent(self, path: Path, status: int) -> Entry:
@@ -297,10 +316,6 @@
     def _count(self, entry: Entry) -> int:
         return 1 + sum(self._count(member) for member in (entry.members or {}).values())
 
-    def _weight(self, entry: Entry) -> int:
-        own = entry.content.size if entry.content else 0
-        return own + sum(self._weight(member) for member in (entry.members or {}).values())
-
     def _tag(self) -> str:
         """A strong entity tag that no other version of anything in this tree has."""
         self.version += 1
--- a/tests/test_webdav.py
+++ b/tests/test_webdav.py
@@ -326,11 +326,14 @@
     def sync(self):
         """What is told as changed since a version makes a client's old copy the same as the tree."""
         version, copy = self.since
-        for path, there in self.tree.changed_since(version, ()):
-            copy.pop(path, None)
-            if there:
-                entry = self.tree.find(path)
-                copy[path] = entry.content.key if entry.content else None
+        cut = True
+        while cut:
+            paths, version, cut = self.tree.changed_since(version, (), True, 3)
+            assert len(paths) <= 3
+            for path in paths:
+                copy.pop(path, None)
+                if (entry := self.tree.find(path)) is not None:
+                    copy[path] = entry.content.key if entry.content else None
         assert copy == self.plain
         self.since = self.tree.version, dict(self.plain)
 
@@ -338,7 +341,7 @@
     def is_as_the_model_says(self):
         seen = {path: (entry.content.key if entry.content else None) for path, entry in self.tree.walk((), -1)}
         assert seen == self.plain and self.tree.size == len(self.plain)
-        assert self.tree.bytes == 10 * sum(what is not None for what in self.plain.values())
+        assert self.tree.used.total() == 10 * sum(what is not None for what in self.plain.values())
         tags = [entry.tag for _, entry in self.tree.walk((), -1)]
         assert len(set(tags)) == len(tags)
 
@@ -364,9 +367,9 @@
     assert tree.find(A).properties == {}
     tree.patch(A, {"x": "1", "y": "2"}, [])
     tree.patch(A, {}, ["x", "none"])
-    assert tree.find(A).properties == {"y": "2"} and tree.changed_since(tree.version + 1, ()) is None
+    assert tree.find(A).properties == {"y": "2"} and tree.changed_since(tree.version + 1, (), True, 99) is None
     tree.forgotten = 3
-    assert tree.changed_since(2, ()) is None
+    assert tree.changed_since(2, (), True, 99) is None
 
 
 # --- requests to jobs, resends ---
