--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -32,9 +32,11 @@
     from ochrecourse.cli.admin import admin_site
     from ochrecourse.cli.control import serve_control
     from ochrecourse.cli.logs import LEVELS, AccessLog, Aside, JobLog, set_up
+    from ochrecourse.durable.journal import BadJournal
     from ochrecourse.gateway.daemon import Daemon
     from ochrecourse.gateway.sampling import Sampling
     from ochrecourse.settings.load import Refused, address, load
+    from ochrecourse.webdav.kept import Unreadable
 
     settings: Any = record
     aside = Aside(sys.stderr)
@@ -46,7 +48,13 @@
     epoch = int(time.time() - time.monotonic())
     access = AccessLog(log, sampling, reactor)
     jobs = [JobLog(log, sampling)]
-    daemon = Daemon(settings, reactor, jobs, log.warning, reactor.stop, log.info, epoch=epoch, access=access)
+    try:
+        daemon = Daemon(
+            settings, reactor, jobs, log.warning, reactor.stop, log.info, epoch=epoch, access=access
+        )
+    except (BadJournal, Unreadable, OSError) as trouble:
+        click.echo(f"ochrecourse: names and locks are not to be had: {trouble}", err=True)
+        sys.exit(2)
 
     def reload() -> None:
         try:
--- /dev/null
+++ b/ochrecourse/durable/journal.py
@@ -0,0 +1,136 @@
+"""An append-only file of records, for state that must outlive its process.
+
+Format: a line `ochrecourse NAME VERSION` in ASCII, then for each record 4 bytes length, 4 bytes CRC-32 (both
+big endian) and the record. Once `append` has returned, a record outlives the process; `restart` also syncs
+file and folder. Not promised: that the newest records survive a power cut. A record that is cut short or
+damaged ends what is read; the file as it was is then put aside, never overwritten.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import struct
+import zlib
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Protocol
+
+FRAME = struct.Struct(">II")
+LONGEST = 1 << 26  # bytes of one record; a length above it is damage, not a record
+
+
+class Journal(Protocol):
+    """Where records are kept."""
+
+    def records(self) -> Iterator[bytes]: ...
+
+    def append(self, record: bytes) -> None:
+        """Raises OSError, and then keeps nothing of the record."""
+
+    def restart(self, records: Iterable[bytes]) -> None:
+        """Puts these in place of all that was kept, all at once. Raises OSError."""
+
+
+class InMemory:
+    """For runs that keep nothing, and for lives that follow each other in one process."""
+
+    def __init__(self) -> None:
+        self.kept: list[bytes] = []
+
+    def records(self) -> Iterator[bytes]:
+        return iter(list(self.kept))
+
+    def append(self, record: bytes) -> None:
+        self.kept.append(record)
+
+    def restart(self, records: Iterable[bytes]) -> None:
+        self.kept = list(records)
+
+
+class BadJournal(Exception):
+    """The file is not a journal of this kind; the text says what it is."""
+
+
+class InFile:
+    """Records in one file. `notes` say what was found damaged, a line each."""
+
+    def __init__(self, path: Path, name: str, version: int) -> None:
+        self.path = path
+        self.head = f"ochrecourse {name} {version}\n".encode()
+        self.notes: list[str] = []
+        self.file = -1
+        self.size = 0
+        self.broken = False
+
+    def records(self) -> Iterator[bytes]:
+        """All whole records. Raises BadJournal, OSError."""
+        try:
+            with open(self.path, "rb") as file:
+                head = file.readline(200)
+                if head != self.head:
+                    said = head.decode("ascii", "replace").strip()
+                    raise BadJournal(f"{self.path}: begins with {said!r}, not {self.head.decode().strip()!r}")
+                at, count, whole = file.tell(), 0, os.fstat(file.fileno()).st_size
+                while at < whole:
+                    frame = file.read(FRAME.size)
+                    length, crc = FRAME.unpack(frame) if len(frame) == FRAME.size else (LONGEST + 1, 0)
+                    record = file.read(length) if length <= LONGEST else b""
+                    if len(record) != length or zlib.crc32(record) != crc:
+                        self._damaged(at, count, whole)
+                        return
+                    at += FRAME.size + length
+                    count += 1
+                    yield record
+        except FileNotFoundError:
+            return
+
+    def _damaged(self, at: int, count: int, whole: int) -> None:
+        aside = self.path.with_name(f"{self.path.name}.damaged")
+        with contextlib.suppress(FileExistsError):
+            os.link(self.path, aside)  # a second name: the file stays whatever `restart` does with the first
+        self.notes.append(
+            f"{self.path}: record {count + 1} at byte {at} is cut short or damaged; the last "
+            f"{whole - at} bytes are left out, the file is kept as {aside.name}"
+        )
+
+    def append(self, record: bytes) -> None:
+        if self.broken:
+            raise OSError("the journal could not be mended after a write that failed")
+        data = FRAME.pack(len(record), zlib.crc32(record)) + record
+        try:
+            written = os.write(self.file, data)
+            if written != len(data):
+                raise OSError(f"{written} of {len(data)} bytes were written")
+        except OSError:
+            try:
+                os.ftruncate(self.file, self.size)
+            except OSError:
+                self.broken = True  # half a record may stand at the end: nothing may come behind it
+            raise
+        self.size += len(data)
+
+    def restart(self, records: Iterable[bytes]) -> None:
+        aside = self.path.with_name(f"{self.path.name}.new")
+        with open(aside, "wb") as file:
+            file.write(self.head)
+            for record in records:
+                file.write(FRAME.pack(len(record), zlib.crc32(record)) + record)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(aside, self.path)
+        folder = os.open(self.path.parent, os.O_RDONLY)
+        try:
+            with contextlib.suppress(OSError):  # not every file system syncs folders
+                os.fsync(folder)
+        finally:
+            os.close(folder)
+        self.close()
+        self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+        self.size = os.fstat(self.file).st_size
+        self.broken = False
+
+    def close(self) -> None:
+        if self.file >= 0:
+            os.close(self.file)
+            self.file = -1
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -15,6 +15,7 @@
 from ochrecourse.bgp.speaker import Speaker
 from ochrecourse.bgp.watch import Watch
 from ochrecourse.decide import Host
+from ochrecourse.durable.journal import InFile, InMemory, Journal
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway, Observer
 from ochrecourse.interface import Decisions, Health
@@ -25,10 +26,12 @@
 from ochrecourse.settings.load import address
 from ochrecourse.settings.plain import plain_map
 from ochrecourse.webdav.door import Door
+from ochrecourse.webdav.kept import Kept
 from ochrecourse.webdav.limits import DoorFigures
 from ochrecourse.webdav.mapping import ProductRule, VolumeRule
 from ochrecourse.webdav.methods import Quota
 
+TREE = ("webdav-tree", 1)  # name and version of the file of names and locks
 LAST_WORDS = 0.2  # s for the last answers to leave before the process ends
 
 # What a running gateway takes over from settings that are read again; the rest needs a restart.
@@ -49,9 +52,12 @@
         decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
         epoch: int = 0,
         access: Callable[..., None] | None = None,
+        tree: Journal | None = None,
     ) -> None:
         """`gone` is called when it has left; `told` hears of what changes about service addresses; `epoch`: s
-        since 1970 at the clock's zero, for dates that clients see; `access` takes a WebDAV request's line.
+        since 1970 at the clock's zero, for dates that clients see; `access` takes a WebDAV request's line;
+        `tree` keeps names and locks, by default in the folder `gateway.state`. Raises BadJournal, Unreadable,
+        OSError.
         """
         self.record = record
         self.network = network
@@ -74,7 +80,16 @@
         kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
         self.follower = Follower(own["name"], network, where, self._news, kept, seed ^ 0x5DEECE66D, warn)
         self.listening: Any = None
-        self.door = door_of(record, self.gateway, network, epoch, access) if "webdav" in record else None
+        self.door: Door | None = None
+        if "webdav" in record:
+            if tree is None:
+                tree = (
+                    InFile(Path(own["state"]) / f"{own['name']}.tree", *TREE) if own["state"] else InMemory()
+                )
+            names = Kept(tree, lambda: uuid.uuid4().urn, now_ns(network), epoch)
+            for note in tree.notes if isinstance(tree, InFile) else ():
+                warn(note)
+            self.door = door_of(record, self.gateway, network, names, access)
         self.door_listening: Any = None
         self.watch = Watch()
         setup = setup_of(record)
@@ -257,7 +272,7 @@
     record: Mapping[str, Any],
     gateway: Gateway,
     network: Network,
-    epoch: int,
+    kept: Kept,
     access: Callable[..., None] | None,
 ) -> Door:
     """The WebDAV door of a record; a request's time is its product's client timeout."""
@@ -290,8 +305,7 @@
         round(said["unit"]),
         record["units"]["most"],
         record["gateway"]["number"],
-        epoch,
-        lambda: uuid.uuid4().urn,
+        kept,
         figures,
         quota,
         access,
--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -21,11 +21,11 @@
 from ochrecourse.gateway import gateway as g
 from ochrecourse.outside import MS, SECOND, Network, Timer, now_ns, stop
 from ochrecourse.webdav import bodies
+from ochrecourse.webdav.kept import Kept
 from ochrecourse.webdav.limits import Arrival, DoorFigures, Pace
-from ochrecourse.webdav.locks import Locks
 from ochrecourse.webdav.mapping import NoProduct, ProductRule, VolumeRule, job_of
 from ochrecourse.webdav.methods import XML, Asked, Methods, Quota, Reply
-from ochrecourse.webdav.namespace import Content, Entry, Namespace, Refused, Staged
+from ochrecourse.webdav.namespace import Content, Entry, Refused, Staged
 from ochrecourse.webdav.resends import Resends, Same, What
 
 MEMBERS = 200  # responses of a PROPFIND made in one go; the rest waits for the transport
@@ -301,10 +301,12 @@
         staged, self.staged, self.job = self.staged, None, None
         content = Content(self.door.key_of(staged), shard, self.size, "", self.kind)
         try:
-            entry, made = self.door.tree.publish(staged, content, now_ns(self.door.network))
-        except Refused as trouble:
-            self.door.over(self.number, trouble.status)
-            self.answer(trouble.status, str(trouble))
+            entry, made = self.door.kept.publish(staged, content, now_ns(self.door.network))
+        except (Refused, OSError) as trouble:
+            # Stored at a node but not shown: the old object stands, and the client is told that.
+            status = trouble.status if isinstance(trouble, Refused) else 507
+            self.door.over(self.number, status)
+            self.answer(status, str(trouble))
             return
         status = 201 if made else 204
         self.door.over(self.number, status)
@@ -579,9 +581,8 @@
 class Door(HTTPFactory):
     """The door of one gateway: its tree, its locks, and the tables by which requests become jobs.
 
-    `number` of the gateway keeps the keys of its objects apart from those of others; `epoch`: s since 1970 at
-    the clock's zero, for dates only; `new_token` gives unguessable lock tokens; `access` takes the fields of
-    each request's line.
+    `number` of the gateway keeps the keys of its objects apart from those of others; `kept` holds names and
+    locks; `access` takes the fields of each request's line.
     """
 
     noisy = False
@@ -596,8 +597,7 @@
         unit: int,
         most_units: float,
         number: int,
-        epoch: int,
-        new_token: Callable[[], str],
+        kept: Kept,
         figures: DoorFigures,
         quota: Quota = Quota({}),  # noqa: B008
         access: Callable[..., None] | None = None,
@@ -613,8 +613,9 @@
         self.number = number
         self.figures = figures
         self.access = access
-        self.tree = Namespace(now_ns(network))
-        self.methods = Methods(self.tree, Locks(new_token), epoch, quota)
+        self.kept = kept
+        self.tree = kept.tree
+        self.methods = Methods(kept, quota)
         self.resends = Resends()
         self.waiting: dict[int, Dav] = {}
         self.channels: dict[Channel, None] = {}
--- a/ochrecourse/webdav/locks.py
+++ b/ochrecourse/webdav/locks.py
@@ -9,8 +9,10 @@
 
 from ochrecourse.outside import SECOND
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
+from heapq import heappop, heappush
+from math import inf
 
 from ochrecourse.webdav.paths import Path, inside
 
@@ -47,21 +49,31 @@
 
 
 class Locks:
-    """All locks. `new_token` gives unguessable tokens."""
+    """All locks. Tokens come from whoever takes one, and must be unguessable."""
 
-    def __init__(self, new_token: Callable[[], str], most: int = MOST) -> None:
-        self.new_token = new_token
+    def __init__(self, most: int = MOST) -> None:
         self.most = most
+        self.due: list[tuple[int, str]] = []  # a heap of times at which locks may run out, and their tokens
         self.by_token: dict[str, Lock] = {}
         self.by_root: dict[Path, list[Lock]] = {}
 
     def expire(self, now: int) -> list[Lock]:
         """Drops and returns the locks that ran out."""
-        gone = [lock for lock in self.by_token.values() if lock.expires <= now]
-        for lock in gone:
-            self._drop(lock)
+        gone = []
+        while self.due and self.due[0][0] <= now:
+            _, token = heappop(self.due)
+            lock = self.by_token.get(token)
+            if lock is not None and lock.expires <= now:
+                self._drop(lock)
+                gone.append(lock)
+            elif lock is not None:
+                heappush(self.due, (lock.expires, token))  # it was refreshed
         return gone
 
+    def next_due(self) -> float:
+        """When the next lock may run out; infinity without one."""
+        return self.due[0][0] if self.due else inf
+
     def covering(self, path: Path) -> list[Lock]:
         """The locks that cover a path: its own, and infinite ones of its ancestors."""
         found = []
@@ -74,7 +86,15 @@
         return [lock for root, locks in self.by_root.items() if inside(root, path) for lock in locks]
 
     def take(
-        self, path: Path, exclusive: bool, infinite: bool, owner: str, principal: str, timeout: int, now: int
+        self,
+        path: Path,
+        exclusive: bool,
+        infinite: bool,
+        owner: str,
+        principal: str,
+        timeout: int,
+        now: int,
+        token: str,
     ) -> Lock:
         """A new lock (9.10.1). Raises Conflict, TooMany. `timeout` in ns; at most the longest is given."""
         self.expire(now)
@@ -88,11 +108,22 @@
         if len(self.by_token) >= self.most:
             raise TooMany(f"{self.most} locks stand")
         expires = now + min(max(timeout, SECOND), LONGEST)
-        lock = Lock(self.new_token(), path, exclusive, infinite, owner, principal, expires)
-        self.by_token[lock.token] = lock
-        self.by_root.setdefault(path, []).append(lock)
+        lock = Lock(token, path, exclusive, infinite, owner, principal, expires)
+        self.put(lock)
         return lock
 
+    def put(self, lock: Lock) -> None:
+        """Keeps a lock as it is."""
+        self.by_token[lock.token] = lock
+        self.by_root.setdefault(lock.root, []).append(lock)
+        heappush(self.due, (lock.expires, lock.token))
+
+    def shift(self, by: int) -> None:
+        """Moves all times by so many ns."""
+        for lock in self.by_token.values():
+            lock.expires += by
+        self.due = sorted((lock.expires, lock.token) for lock in self.by_token.values())
+
     def refresh(self, token: str, path: Path, timeout: int, now: int) -> Lock | None:
         """Starts a lock's time anew (9.10.2); None if it does not cover the path, or is not there."""
         self.expire(now)
--- a/ochrecourse/webdav/methods.py
+++ b/ochrecourse/webdav/methods.py
@@ -15,7 +15,8 @@
 
 from ochrecourse.outside import SECOND
 from ochrecourse.webdav import bodies, conditions
-from ochrecourse.webdav.locks import Conflict, Locks, TooMany
+from ochrecourse.webdav.kept import Kept
+from ochrecourse.webdav.locks import Conflict, TooMany
 from ochrecourse.webdav.namespace import Changed, Entry, Namespace, Refused
 from ochrecourse.webdav.paths import BadPath, Path, destination, parse
 
@@ -78,12 +79,13 @@
 
 
 class Methods:
-    """The methods over one tree and its locks. `epoch`: s since 1970 at the clock's zero."""
+    """The methods over one tree and its locks, which change only through `kept`."""
 
-    def __init__(self, tree: Namespace, locks: Locks, epoch: int, quota: Quota = Quota({})) -> None:  # noqa: B008
-        self.tree = tree
-        self.locks = locks
-        self.epoch = epoch
+    def __init__(self, kept: Kept, quota: Quota = Quota({})) -> None:  # noqa: B008
+        self.kept = kept
+        self.tree = kept.tree
+        self.locks = kept.locks
+        self.epoch = kept.epoch
         self.quota = quota
         self.table: dict[str, Callable[[Asked, Entry | None, frozenset[str], int], Reply]] = {
             "DELETE": self._delete,
@@ -104,7 +106,7 @@
         if asked.method == "OPTIONS":
             raise Reply(200, "", {"DAV": "1, 2, 3", "Allow": METHODS})
         asked.path = _told(lambda: parse(asked.target).path)
-        self.expire(now)
+        self.kept.expire(now)
         entry = self.tree.find(asked.path)
         return entry, _told(lambda: self._conditions(asked, entry))
 
@@ -112,15 +114,6 @@
         """Carries out a method of the table. Raises Reply if it can't be done; then nothing changed."""
         return _told(lambda: self.table[asked.method](asked, entry, tokens, now))
 
-    def expire(self, now: int) -> None:
-        """Locks that ran out go, and with them the empty resources that they made (RFC 4918 7.3 lets these
-        stay).
-        """
-        for lock in self.locks.expire(now):
-            entry = self.tree.find(lock.root)
-            if entry is not None and entry.empty and not self.locks.covering(lock.root):
-                self.tree.delete(lock.root)
-
     # --- what GET, PUT and PROPFIND ask before they go on ---
 
     def may_put(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], size: int, now: int) -> None:
@@ -326,15 +319,14 @@
         if entry is None:
             raise Reply(404)
         self._write_member(asked, asked.path, tokens, now, members=True)
-        self.tree.delete(asked.path)
-        self.locks.forget_tree(asked.path)
+        self.kept.delete(asked.path)
         return Reply(204)
 
     def _mkcol(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> Reply:
         if asked.body:
             raise Reply(415, "a MKCOL has no body here")
         self._write_member(asked, asked.path, tokens, now)
-        self.tree.make_collection(asked.path, now)
+        self.kept.make_collection(asked.path, now)
         return Reply(201)
 
     def _copy(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> Reply:
@@ -343,7 +335,7 @@
             raise Reply(400, "a COPY has depth 0 or infinity")
         target, overwrite = self._target(asked, tokens, now)
         self._fits(entry, target)
-        made, _ = self.tree.copy(asked.path, target, depth != "0", overwrite, now)
+        made = self.kept.copy(asked.path, target, depth != "0", overwrite, now)
         return Reply(201 if made else 204)
 
     def _move(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> Reply:
@@ -353,8 +345,7 @@
         target, overwrite = self._target(asked, tokens, now)
         if target[:1] != asked.path[:1]:
             self._fits(entry, target)
-        made, _ = self.tree.move(asked.path, target, overwrite)
-        self.locks.forget_tree(asked.path)  # locks don't move (7.6)
+        made = self.kept.move(asked.path, target, overwrite)
         return Reply(201 if made else 204)
 
     def _fits(self, entry: Entry | None, target: Path) -> None:
@@ -381,13 +372,13 @@
         if any(name.startswith(bodies.DAV) for name in names):
             status = "403 Forbidden"  # live properties are not the client's to set, and it is all or nothing
         else:
-            self.tree.patch(asked.path, patch.sets, patch.removes)
+            self.kept.patch(asked.path, patch.sets, patch.removes)
         return Reply(207, bodies.patched(asked.path, entry, names, status), XML)
 
     def _lock(self, asked: Asked, entry: Entry | None, tokens: frozenset[str], now: int) -> Reply:
         path, timeout, who = asked.path, self._timeout(asked), asked.said("authorization")
         if not asked.body.strip():
-            held = self.locks.refresh(next(iter(tokens), ""), path, timeout, now)
+            held = self.kept.refresh(next(iter(tokens), ""), path, timeout, now)
             if held is None:
                 raise Reply(412, "no such lock to refresh")
             return Reply(200, bodies.locked(held, now), XML)
@@ -396,13 +387,7 @@
             raise Reply(400, "a LOCK has depth 0 or infinity")
         if entry is None:
             self._write(asked, path[:-1], tokens, now)
-        lock = self.locks.take(path, wanted.exclusive, depth == "infinity", wanted.owner, who, timeout, now)
-        if entry is None:
-            try:
-                self.tree.make_empty(path, now)
-            except Refused:
-                self.locks.release(lock.token, path, who, now)
-                raise
+        lock = self.kept.take(path, wanted.exclusive, depth == "infinity", wanted.owner, who, timeout, now)
         headers = {**XML, "Lock-Token": f"<{lock.token}>"}
         return Reply(201 if entry is None else 200, bodies.locked(lock, now), headers)
 
@@ -410,7 +395,7 @@
         token = asked.said("lock-token").strip()
         if not (token.startswith("<") and token.endswith(">")):
             raise Reply(400, "Lock-Token is <TOKEN>")
-        done = self.locks.release(token[1:-1], asked.path, asked.said("authorization"), now)
+        done = self.kept.release(token[1:-1], asked.path, asked.said("authorization"), now)
         if done is None:
             raise Reply(409, bodies.error("lock-token-matches-request-uri"), XML)
         if not done:
@@ -438,3 +423,5 @@
         raise Reply(423, bodies.error("lock-token-submitted", trouble.roots), XML) from None
     except TooMany as trouble:
         raise Reply(507, str(trouble)) from None
+    except OSError:
+        raise Reply(507, "the change could not be written down, so it was not made") from None
--- a/ochrecourse/webdav/namespace.py
+++ b/ochrecourse/webdav/namespace.py
@@ -259,6 +259,22 @@
         self._changed(path, entry)
         return entry
 
+    def place(self, path: Path, entry: Entry) -> None:
+        """Puts a resource of a snapshot where it was; its collection is there already."""
+        if not path:
+            self.root = entry
+            return
+        parent = self._parent(path, 409)
+        assert parent.members is not None
+        parent.members[path[-1]] = entry
+        self.size += 1
+        self.used[path[0]] += entry.content.size if entry.content else 0
+
+    def forget_changes(self) -> None:
+        """What changed until now is no longer told; clients that synchronize start anew."""
+        self.changes.clear()
+        self.forgotten = self.version
+
     # --- inside ---
 
     def _movable(self, source: Path, target: Path, overwrite: bool) -> Entry:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,8 +5,10 @@
 import pytest
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from ochrecourse.durable.journal import InMemory
 from ochrecourse.outside import SECOND
 from ochrecourse.webdav.door import Door
+from ochrecourse.webdav.kept import Kept
 from ochrecourse.webdav.limits import DoorFigures
 from ochrecourse.webdav.mapping import ProductRule, VolumeRule
 from ochrecourse.webdav.methods import Quota
@@ -66,14 +68,15 @@
 class House:
     """A door before a gateway before one node."""
 
-    def __init__(self, make_yard, **figures):
+    def __init__(self, make_yard, journal=None, **figures):
         self.store = Store()
         self.lines = []
         self.yard = make_yard(self.store)
         count = iter(range(10_000))
         volumes = [VolumeRule("", "p0", 1)]
         self.door = Door(
-            self.yard.gateway, self.yard.network, PRODUCTS, volumes, 65_536, 8, 0, 1_700_000_000, lambda: f"urn:{next(count)}",
+            self.yard.gateway, self.yard.network, PRODUCTS, volumes, 65_536, 8, 0,
+            Kept(journal or InMemory(), lambda: f"urn:{next(count)}", 0, 1_700_000_000),
             DoorFigures(**{**LIMITS, **figures}), Quota({"small": 10}), lambda **said: self.lines.append(said),
         )
         self.port = self.yard.network.listenTCP(0, self.door).getHost().port
--- a/tests/test_webdav.py
+++ b/tests/test_webdav.py
@@ -169,14 +169,16 @@
 @pytest.fixture
 def locks():
     count = iter(range(1000))
-    return Locks(lambda: f"urn:{next(count)}", most=4)
+    made = Locks(most=4)
+    made.new_token = lambda: f"urn:{next(count)}"
+    return made
 
 
 A, AB, X = ("a",), ("a", "b"), ("x",)
 
 
 def lock(locks, path, exclusive=True, infinite=True, who="ann", timeout=60 * SECOND, now=0):
-    return locks.take(path, exclusive, infinite, "", who, timeout, now)
+    return locks.take(path, exclusive, infinite, "", who, timeout, now, locks.new_token())
 
 
 def test_an_exclusive_lock_keeps_others_off_and_shared_ones_share(locks):
