--- a/ochrecourse/cli/day.py
+++ b/ochrecourse/cli/day.py
@@ -45,12 +45,19 @@
 @click.option(
     "--virtual", is_flag=True, help="In one process on a virtual clock; the same seed gives the same run."
 )
+@click.option("--people", default=0, help="So many at the WebDAV doors, in place of the day's clients.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Keep records, settings and logs in this folder."
 )
 @click.option("--json", "as_json", is_flag=True, help="Outcomes and findings as JSON.")
 def run(
-    name: str, seed: int | None, gateways: int | None, virtual: bool, keep: Path | None, as_json: bool
+    name: str,
+    seed: int | None,
+    gateways: int | None,
+    virtual: bool,
+    people: int,
+    keep: Path | None,
+    as_json: bool,
 ) -> None:
     """Run the day NAME (built in, or a file) and judge it; exit code 0 only if every rule held.
 
@@ -59,7 +66,7 @@
     this = day_or_exit(name, seed)
     if gateways is not None:
         this = msgspec.structs.replace(this, gateways=gateways)
-    play(this, virtual, keep, as_json)
+    play(this, virtual, keep, as_json, people)
 
 
 @day.command("from-bench")
@@ -95,11 +102,12 @@
         play(this, virtual, keep, as_json)
 
 
-def play(this: Day, virtual: bool, keep: Path | None, as_json: bool) -> None:
+def play(this: Day, virtual: bool, keep: Path | None, as_json: bool, people: int = 0) -> None:
     """Runs a day, prints what came of it, and ends the command: 0 kept, 1 broken."""
     from ochrecourse.audit.judge import audit
     from ochrecourse.audit.records import encode, read
     from ochrecourse.lab.figures import figures_of
+    from ochrecourse.lab.people import overlapping
     from ochrecourse.lab.report import outcome_map, verdict_line
 
     folder = keep or Path(tempfile.mkdtemp(prefix="ochrecourse-"))
@@ -109,17 +117,23 @@
     if virtual:
         from ochrecourse.lab.play import VirtualPlay
 
-        played = VirtualPlay(this).run()
+        run = VirtualPlay(this, people=people)
+        played, crowd = run.run(), run.people
         outcomes, calls, counts = played.outcomes, played.calls, played.counts
+        records: list[Any] = played.records
         if keep:
             (folder / "records.jsonl").write_bytes(b"".join(encode(each) + b"\n" for each in played.records))
-        verdict = audit(figures_of(this), played.records)
     else:
-        real = _play_real(this, folder)
-        outcomes, calls, troubles = real.load.outcomes, len(real.calls), real.troubles
-        counts = {f"clients: {name}": count for name, count in real.load.counts.items()}
-        verdict = audit(figures_of(this), read(real.records()))
+        real = _play_real(this, folder, people)
+        clients, crowd = real.people or real.load, real.people
+        outcomes, calls, troubles = clients.outcomes, len(real.calls), real.troubles
+        counts = {f"clients: {name}": count for name, count in clients.counts.items()}
+        records = list(read(real.records()))
+    verdict = audit(figures_of(this, webdav=people > 0), records)
     open_jobs = calls - sum(outcomes.endings.values())
+    if crowd is not None:
+        open_jobs = len(crowd.persons) - crowd.left  # people that still wait for an answer
+        troubles += crowd.faults + overlapping(records)
     broken = not verdict.kept() or bool(open_jobs) or bool(troubles)
     if as_json:
         findings = [{"rule": e.rule, "tested": e.tested, "breaches": e.breaches} for e in verdict.findings]
@@ -131,12 +145,13 @@
         )
     else:
         _show(this, outcomes, verdict, counts)
-        for text in troubles:
+        for text in troubles[:20]:
             click.echo(f"trouble: {text}")
         if keep or broken:
             click.echo(f"records, settings and logs: {folder}")
         if broken:
-            click.echo(f"again: ochrecourse day run {this.name} --seed {this.seed}{' --virtual' * virtual}")
+            more = " --virtual" * virtual + f" --people {people}" * bool(people)
+            click.echo(f"again: ochrecourse day run {this.name} --seed {this.seed}{more}")
         click.echo(
             f"BROKEN: {troubles[0]}" if troubles and verdict.kept() else verdict_line(verdict, open_jobs)
         )
@@ -145,14 +160,14 @@
     sys.exit(1 if broken else 0)
 
 
-def _play_real(this: Day, folder: Path) -> Any:
+def _play_real(this: Day, folder: Path, people: int) -> Any:
     from ochrecourse.cli.steady import raise_files, steady_reactor
 
     reactor = steady_reactor()
     from ochrecourse.lab.real import RealPlay
 
     raise_files()
-    real = RealPlay(this, reactor, folder, reactor.stop)
+    real = RealPlay(this, reactor, folder, reactor.stop, people)
     real.start()
     reactor.run()
     return real
--- a/ochrecourse/cli/main.py
+++ b/ochrecourse/cli/main.py
@@ -17,7 +17,7 @@
     "show": ("ochrecourse.cli.settings:show", "Show settings as they resolve, with every default."),
     "node": ("ochrecourse.cli.nodes:node", "Run one storage node of our own, and a list that names it."),
     "nodes": ("ochrecourse.cli.nodes:nodes", "Run all storage nodes and the list server of a day."),
-    "load": ("ochrecourse.cli.load:load", "Send a day's jobs to running gateways."),
+    "load": ("ochrecourse.cli.load:load", "Send a day's jobs, or people at WebDAV doors, to gateways."),
     "day": ("ochrecourse.cli.day:day", "List, run and convert scripted days."),
     "bgp": ("ochrecourse.cli.control:bgp", "Show, drain and undrain a running gateway's service addresses."),
     "audit": ("ochrecourse.cli.audit:audit_records", "Judge the seven rules from records."),
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -185,6 +185,10 @@
             raise BadRequest("unknown_plan", f"there is no plan {request.plan!r}")
         if not 0 < request.units < 1e9 or not 0 < request.timeout < 1e15 or not 1 <= request.gateways < 1e6:
             raise BadRequest("bad_figure", "units, timeout and gateways must be above 0")
+        now = now_ns(self.clock)
+        due = self.lateness.sent_at(request.read_at) + request.timeout - self.travel
+        if due <= now:
+            raise BadRequest("late_body", "its client's time was over before it was whole here")
         job = self.next_number()
         self._count += 1
         if not self.leaving.takes() or self.ledger.open >= self.max_open:
@@ -193,8 +197,6 @@
                 request.body.close()
             asker.denied(job, 0)
             return job
-        now = now_ns(self.clock)
-        due = self.lateness.sent_at(request.read_at) + request.timeout - self.travel
         story = JobStory(
             job, product, plan, request.volume, request.units, now, due, due + self.travel // 2, request.trace
         )
@@ -219,7 +221,9 @@
             self._over(self.tasks[job])
             self._pull()
         elif (task := self.tasks.get(job)) is not None and task.leg is not None:
-            self.nodes.cancel(task.leg)  # its answer had begun; nobody reads the rest
+            # Its answer had begun and nobody reads the rest, which is no fault of anybody.
+            task.answer_left = 0
+            self.nodes.cancel(task.leg)
 
     def room(self, job: int, size: int) -> None:
         """The client took so many more bytes of its answer."""
--- a/ochrecourse/lab/days.py
+++ b/ochrecourse/lab/days.py
@@ -104,23 +104,35 @@
     return _base("demo", seed, 15.0, troubles)
 
 
+def school_morning(seed: int = 1) -> Day:
+    """For the WebDAV doors: a node stalls, one is drained, answers are lost, a gateway is killed."""
+    troubles = [
+        Trouble(kind="hang", at_s=3.0, len_s=4.0, part=0.1),
+        Trouble(kind="preempt", at_s=8.0, len_s=4.0, part=0.1, size=1.0, extra=2.0),
+        Trouble(kind="answer_lost", at_s=13.0, len_s=4.0, part=0.25, size=0.3),
+        Trouble(kind="balancer_roll", at_s=18.0, len_s=1.0, part=0.34, size=1.0, extra=1.0),
+        Trouble(kind="cut_answers", at_s=21.0, len_s=3.0, part=0.25, size=0.3),
+    ]
+    day = _base("school-morning", seed, 25.0, troubles)
+    return msgspec.structs.replace(day, nodes=12, volumes_a_node=2.0)
+
+
 def quiet(seed: int = 1) -> Day:
     """Nothing breaks."""
     return _base("quiet", seed, 8.0, [])
 
 
+MADE = {"demo": demo, "quiet": quiet, "bad-evening": bad_evening, "school-morning": school_morning}
+
+
 def names() -> list[str]:
-    return ["demo", "quiet", "bad-evening", *TROUBLES]
+    return [*MADE, *TROUBLES]
 
 
 def built_in(name: str, seed: int = 1) -> Day:
     """A built-in day by its name. Raises BadDay."""
-    if name == "demo":
-        return demo(seed)
-    if name == "quiet":
-        return quiet(seed)
-    if name == "bad-evening":
-        return bad_evening(seed)
+    if name in MADE:
+        return MADE[name](seed)
     if name in TROUBLES:
         return one_trouble(name, seed)
     raise BadDay(f"there is no built-in day {name!r}; there are {', '.join(names())}")
--- a/ochrecourse/lab/figures.py
+++ b/ochrecourse/lab/figures.py
@@ -6,12 +6,16 @@
 from ochrecourse.outside import MS
 from ochrecourse.settings.plain import EFFECTS
 from ochrecourse.lab.day import Day, limit_of, volumes
+from ochrecourse.lab.people import limits_by_path
 
 
-def figures_of(day: Day) -> Figures:
-    """What docs/days.md states for a day, with how much two ends of a socket may disagree on a time."""
+def figures_of(day: Day, webdav: bool = False) -> Figures:
+    """What docs/days.md states for a day, with how much two ends of a socket may disagree on a time.
+
+    `webdav`: the clients came to the WebDAV doors, where volumes are numbered by their paths.
+    """
     rules = day.rules
-    limits = {
+    limits = limits_by_path(day) if webdav else {
         str(volume.number): limit_of(day, day.plans[volume.plan])
         for volume in volumes(day)
         if day.plans[volume.plan].limit
--- a/ochrecourse/lab/play.py
+++ b/ochrecourse/lab/play.py
@@ -11,10 +11,12 @@
 
 from ochrecourse.audit import records as r
 from ochrecourse.decide import Host
+from ochrecourse.durable.journal import InMemory
 from ochrecourse.gateway.daemon import Daemon
 from ochrecourse.interface import Decisions
 from ochrecourse.lab.day import Day, Trouble, gateway_record, node_kind, push_over, volumes, works
 from ochrecourse.lab.load import Load, Outcomes, schedule
+from ochrecourse.lab.people import People, door_record
 from ochrecourse.lab.prober import Prober
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership.view import Copy
@@ -97,8 +99,10 @@
         self.name = f"g{index}"
         self.lives = 0
         self.copy: Copy | None = None
+        self.tree = InMemory()
         self.daemon: Daemon | None = None
         self.port = 0
+        self.door_port = 0
 
     def start(self) -> None:
         play = self.play
@@ -108,13 +112,23 @@
         gateway["seed"] = play.day.seed * 1_000_003 + self.index * 1009 + self.lives
         if play.peer is not None:
             record["bgp"] = bgp_record(play.day, self.index, play.peer.port)
+        if play.people is not None:
+            record["webdav"] = door_record(play.day, self.door_port)
         resolved = resolve(write(record), self.name)
         self.daemon = Daemon(
-            resolved, play.network, [], play.warnings.append, lambda: None, decisions=play.decisions
+            resolved,
+            play.network,
+            [],
+            play.warnings.append,
+            lambda: None,
+            decisions=play.decisions,
+            tree=self.tree,
         )
         if self.copy is not None:
             self.daemon.take_kept(self.copy)
         _, self.port = self.daemon.start()
+        if self.daemon.door_listening is not None:
+            self.door_port = self.daemon.door_listening.getHost().port
         play.record(r.Started(t=now_ns(play.network), gateway=self.name))
 
     def kill(self) -> None:
@@ -131,6 +145,9 @@
     def address(self) -> tuple[str, int] | None:
         return ("127.0.0.1", self.port) if self.daemon is not None else None
 
+    def door(self) -> tuple[str, int] | None:
+        return ("127.0.0.1", self.door_port) if self.daemon is not None else None
+
 
 def bgp_record(day: Day, index: int, port: int) -> dict[str, object]:
     """The part `bgp` of one gateway's settings; its service address is told by its number."""
@@ -159,9 +176,10 @@
         record: r.Recorder | None = None,
         announces: bool = False,
         steers: bool = False,
+        people: int = 0,
     ) -> None:
         """`announces`: gateways tell a stand-in BGP peer of their addresses; `steers`: clients go by its
-        table.
+        table; `people`: so many come to the WebDAV doors, in place of the day's own clients.
         """
         self.day = day
         self.decisions = decisions
@@ -174,6 +192,8 @@
             self.peer.on_change = self._announced
         self.warnings: list[str] = []
         self.seats = [Seat(self, index) for index in range(day.gateways)]
+        doors = {seat.index: seat.door for seat in self.seats}
+        self.people = People(self.network, day, doors, self.record, people) if people else None
         self.load = Load(self.network, day, {seat.index: seat.address for seat in self.seats}, self.record)
         if steers:
             self.load.steer = self.steer
@@ -214,25 +234,33 @@
     def run(self) -> Played:
         for seat in self.seats:
             seat.start()
-        self.load.connect()
+        if self.people is None:
+            self.load.connect()
         self.network.advance(WARM_UP if self.peer is None else 4 * WARM_UP)
         if self.peer is not None:
             for seat in self.seats:
                 Prober(self.network, self.day, seat.name, seat.address, self.record).start()
-        calls = schedule(self.day)
-        self.played.calls = len(calls)
+        people = self.people
+        if people is not None:
+            people.start()
+            while people.seeding:
+                self.network.advance(0.1)
+            self.played.outcomes = people.outcomes
         play_troubles(self.day, self.network, self.fleet)
         for at, index, down in rolls(self.day):
             self.network.callLater(at, self.seats[index].kill)
             self.network.callLater(at + down, self.seats[index].start)
-        self.load.start(calls)
+        if people is None:
+            calls = schedule(self.day)
+            self.played.calls = len(calls)
+            self.load.start(calls)
         end = self.network.seconds() + self.day.length_s + TAIL
-        while not self.load.done and self.network.seconds() < end:
+        while not (people or self.load).done and self.network.seconds() < end:
             self.network.advance(0.5)
         self.network.advance(1.0)  # whatever is still sent for a job that is over shows now
         for seat in self.seats:
             if seat.daemon is not None:
                 self.add_up(seat.daemon)
-        for name, count in self.load.counts.items():
+        for name, count in (people or self.load).counts.items():
             self.played.counts[f"clients: {name}"] = count
         return self.played
--- a/ochrecourse/lab/real.py
+++ b/ochrecourse/lab/real.py
@@ -13,6 +13,7 @@
 from ochrecourse.audit import records as r
 from ochrecourse.lab.day import Day, gateway_record
 from ochrecourse.lab.load import Load, schedule
+from ochrecourse.lab.people import People, door_record
 from ochrecourse.lab.play import TAIL, WARM_UP, rolls
 from ochrecourse.outside import now_ns
 from ochrecourse.settings.load import write
@@ -22,22 +23,20 @@
 
 
 class Child(ProcessProtocol):
-    """One process: its first line of output, and its end."""
+    """One process: its lines of output, and its end."""
 
     def __init__(
-        self, log: Path, first_line: Callable[[str], None], ended: Callable[[Child, int | None], None]
+        self, log: Path, line: Callable[[str], None], ended: Callable[[Child, int | None], None]
     ) -> None:
         self.log = open(log, "ab")  # noqa: SIM115
-        self.first_line = first_line
+        self.line = line
         self.ended = ended
         self.said = b""
-        self.heard = False
 
     def outReceived(self, data: bytes) -> None:
-        self.said += data
-        if not self.heard and b"\n" in self.said:
-            self.heard = True
-            self.first_line(self.said.split(b"\n")[0].decode("utf-8", "replace"))
+        *lines, self.said = (self.said + data).split(b"\n")
+        for line in lines:
+            self.line(line.decode("utf-8", "replace"))
 
     def errReceived(self, data: bytes) -> None:
         self.log.write(data)
@@ -56,6 +55,8 @@
         self.name = f"g{index}"
         self.at: tuple[str, int] | None = None
         self.port = 0
+        self.door_at: tuple[str, int] | None = None
+        self.door_port = 0
         self.child: Child | None = None
         self.process: Any = None
         self.killed = False
@@ -66,29 +67,39 @@
         record = gateway_record(
             play.day, self.index, f"127.0.0.1:{self.port}", play.list_address, str(play.folder)
         )  # fmt: skip
+        if play.people is not None:
+            record["webdav"] = door_record(play.day, self.door_port)
         settings = play.folder / f"{self.name}.cue"
         settings.write_text(write(record) + 'log: {\n\tlevel: "info"\n\tform: "json"\n}\n')
         self.killed = False
-        self.child = Child(play.folder / f"{self.name}.log", self._listens, self._ended)
+        self.child = Child(play.folder / f"{self.name}.log", self._says, self._ended)
         self.process = play.spawn(self.child, ["serve", str(settings)])
 
     def kill(self) -> None:
         if self.process is not None:
             self.killed = True
-            self.at = None
+            self.at = self.door_at = None
             self.play.record(r.Killed(t=now_ns(self.play.reactor), gateway=self.name))
             self.process.signalProcess("KILL")
 
-    def _listens(self, line: str) -> None:
-        host, _, port = line.removeprefix("listening ").rpartition(":")
-        self.port = int(port)
-        self.at = (host, self.port)
-        self.play.record(r.Started(t=now_ns(self.play.reactor), gateway=self.name))
+    def _says(self, line: str) -> None:
+        what, _, where = line.partition(" ")
+        host, _, port = where.rpartition(":")
+        if what == "listening":
+            self.port = int(port)
+            self.at = (host, self.port)
+            self.play.record(r.Started(t=now_ns(self.play.reactor), gateway=self.name))
+        elif what == "webdav":
+            self.door_port = int(port)
+            self.door_at = (host, self.door_port)
         self.play.came_up()
 
+    def serves(self) -> bool:
+        return self.at is not None and (self.play.people is None or self.door_at is not None)
+
     def _ended(self, child: Child, code: int | None) -> None:
         if child is self.child:
-            self.process, self.at = None, None
+            self.process, self.at, self.door_at = None, None, None
             self.exit = code
             if not self.killed and not self.play.ending:
                 self.play.fail(f"gateway {self.name} ended by itself with code {code}; see {self.name}.log")
@@ -98,7 +109,10 @@
 class RealPlay:
     """One run; `folder` keeps settings, logs and records. `over` is called when all processes have ended."""
 
-    def __init__(self, day: Day, reactor: Any, folder: Path, over: Callable[[], None]) -> None:
+    def __init__(
+        self, day: Day, reactor: Any, folder: Path, over: Callable[[], None], people: int = 0
+    ) -> None:
+        """`people`: so many come to the WebDAV doors, in place of the day's own clients."""
         self.day = day
         self.reactor = reactor
         self.folder = folder
@@ -106,8 +120,10 @@
         self.record = r.ToFile(folder / "clients.jsonl")
         self.places = [Place(self, index) for index in range(day.gateways)]
         addresses = {place.index: lambda place=place: place.at for place in self.places}
+        doors = {place.index: lambda place=place: place.door_at for place in self.places}
+        self.people = People(reactor, day, doors, self.record, people) if people else None
         self.load = Load(reactor, day, addresses, self.record)
-        self.calls = schedule(day)
+        self.calls = [] if people else schedule(day)
         self.list_address = ""
         self.nodes: Any = None
         self.nodes_child: Child | None = None
@@ -117,6 +133,8 @@
         self.exits: list[int | None] = []
 
     def start(self) -> None:
+        for kept in [*self.folder.glob("g*.tree"), *self.folder.glob("g*.nodes")]:
+            kept.unlink()  # of a run before: this run's nodes hold nothing of it
         (self.folder / "day.json").write_bytes(msgspec.json.format(msgspec.json.encode(self.day)))
         self.nodes_child = Child(self.folder / "nodes.log", self._list_is, self._nodes_ended)
         self.nodes = self.spawn(
@@ -139,24 +157,33 @@
             self.fail(f"not all processes served within {START_TIME:g} s")
 
     def _list_is(self, line: str) -> None:
+        if not line.startswith("list "):
+            return
         self.list_address = line.removeprefix("list ").strip()
         for place in self.places:
             place.start()
 
     def came_up(self) -> None:
-        if not self.begun and all(place.at is not None for place in self.places):
-            self.begun = True
+        if self.begun or not all(place.serves() for place in self.places):
+            return
+        self.begun = True
+        if self.people is None:
             self.load.connect()
             self.reactor.callLater(WARM_UP, self._begin)
+        else:
+            self.people.everybody_comes = self._begin
+            self.people.start()
 
     def _begin(self) -> None:
         self.nodes.write(b"go\n")
         for at, index, down in rolls(self.day):
             self.reactor.callLater(at, self.places[index].kill)
             self.reactor.callLater(at + down, self.places[index].start)
-        self.load.finished = lambda: self.reactor.callLater(1.0, self._end)
+        clients = self.people or self.load
+        clients.finished = lambda: self.reactor.callLater(1.0, self._end)
         self.reactor.callLater(self.day.length_s + TAIL, self._end)
-        self.load.start(self.calls)
+        if self.people is None:
+            self.load.start(self.calls)
 
     def _end(self) -> None:
         """Asks every gateway to drain, which must end it with code 0."""
@@ -164,6 +191,8 @@
             return
         self.ending = True
         self.load.stop()
+        if self.people is not None:
+            self.people.stop()
         for place in self.places:
             if place.process is not None:
                 place.process.signalProcess("TERM")
--- /dev/null
+++ b/ochrecourse/lab/talk.py
@@ -0,0 +1,151 @@
+"""An HTTP/1.1 client's side of one connection, one request at a time (RFC 9112).
+
+It judges nothing: it tells the status, the headers, the body's size and digest, and whether it was whole.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.protocols.basic import LineReceiver
+
+KEPT_BODY = 1 << 16  # bytes of a body that are kept beside its digest
+
+
+@dataclass(slots=True)
+class Answer:
+    """A response. `whole`: its body had the length that was told."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    size: int = 0
+    digest: str = ""
+    body: bytes = b""
+    whole: bool = False
+
+
+class Talk(LineReceiver):
+    """One connection. `then` hears of each answer, or of None if the connection ended before any came."""
+
+    delimiter = b"\r\n"
+    transport: Any
+
+    def __init__(self, up: Callable[[Talk], None], over: Callable[[Talk], None]) -> None:
+        self.up = up
+        self.over = over
+        self.then: Callable[[Answer | None], None] | None = None
+        self.answer: Answer | None = None
+        self.method = ""
+        self.left = 0
+        self.chunked = False
+        self.in_chunks = False
+        self.hash = hashlib.sha256()
+        self.lost = False
+        self.closing = False  # the server takes no more on this connection
+        self.conn = 0  # its number among all of a run
+        self.count = 0  # requests so far
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.up(self)
+
+    def ask(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        then: Callable[[Answer | None], None],
+    ) -> None:
+        """Sends a request; only when none is out."""
+        lines = [f"{method} {path} HTTP/1.1", "Host: ochrecourse"]
+        if body or method == "PUT":
+            lines.append(f"Content-Length: {len(body)}")
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self.method, self.then, self.answer = method, then, None
+        self.transport.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.answer is None:
+            if line:
+                self.answer = Answer(int(line.split(b" ", 2)[1]))
+                self.hash = hashlib.sha256()
+                self.in_chunks = False
+        elif self.in_chunks:
+            self._chunk(line)
+        elif line:
+            name, _, value = line.decode("latin-1").partition(":")
+            self.answer.headers[name.lower()] = value.strip()
+        else:
+            self._headers_whole()
+
+    def _headers_whole(self) -> None:
+        answer = self.answer
+        assert answer is not None
+        if answer.status == 100:
+            self.answer = None
+            return
+        self.chunked = "chunked" in answer.headers.get("transfer-encoding", "")
+        self.left = int(answer.headers.get("content-length", 0))
+        if self.method == "HEAD" or answer.status in (204, 304):
+            self.left, self.chunked = 0, False
+        if self.chunked:
+            self.in_chunks = True
+        elif self.left:
+            self.setRawMode()
+        else:
+            self._whole()
+
+    def _chunk(self, line: bytes) -> None:
+        if not line:
+            if self.left < 0:
+                self._whole()
+            return
+        self.left = int(line.split(b";")[0], 16)
+        if self.left:
+            self.setRawMode()
+        else:
+            self.left = -1  # the last chunk; an empty line ends the body
+
+    def rawDataReceived(self, data: bytes) -> None:
+        assert self.answer is not None
+        mine, rest = data[: self.left], data[self.left :]
+        self.left -= len(mine)
+        self.answer.size += len(mine)
+        self.hash.update(mine)
+        if len(self.answer.body) < KEPT_BODY:
+            self.answer.body += mine[: KEPT_BODY - len(self.answer.body)]
+        if self.left:
+            return
+        if self.chunked:
+            self.setLineMode(rest)
+        else:
+            self._whole()
+            self.setLineMode(rest)
+
+    def _whole(self) -> None:
+        answer = self.answer
+        assert answer is not None
+        answer.whole = True
+        self.closing = self.closing or answer.headers.get("connection", "").lower() == "close"
+        self._tell(answer)
+
+    def _tell(self, answer: Answer | None) -> None:
+        then, self.then, self.answer = self.then, None, None
+        if answer is not None:
+            answer.digest = self.hash.hexdigest()
+        if then is not None:
+            then(answer)
+
+    def leave(self) -> None:
+        """The client stops waiting: its connection ends, and nothing more is told."""
+        self.then = None
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.lost = True
+        self._tell(self.answer)
+        self.over(self)
--- a/ochrecourse/standins/node.py
+++ b/ochrecourse/standins/node.py
@@ -190,7 +190,7 @@
         self._over(number, "cut")
         if pieces:
             half = pieces[0][: len(pieces[0]) // 2]
-            self.say(m.Done(id=number, size=size + 1, shard=self.machine.shard.number), half)
+            self.say(m.Done(id=number, size=size, shard=self.machine.shard.number), half)
         self.transport.loseConnection()
 
     def _send_parts(self) -> None:
--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -71,14 +71,14 @@
     asked: Asked | None = None
     job: int | None = None
     number = 0
-    came = 0  # ns, when its headers were here
-    whole = 0  # ns, when its body was too: its client's wait counts from here
+    came = 0  # ns, when its headers were here: its client's time runs from then
     looked_at = False  # before its body came
     how = ""  # it ended, for the access line
     trace = ""
     blocked = False
     owed = 0
     at = 0  # of the object, that came so far
+    whole_size = 0  # of the object
     staged: Staged | None = None
     size = 0  # of a body that is written
     kind = ""
@@ -157,7 +157,6 @@
         door = self.channel.factory.door
         asked = self.head(door, self.method, self.uri, self.clientproto)
         now, methods = now_ns(door.network), door.methods
-        self.whole = now
         if asked.method not in ("GET", "HEAD", "PUT"):
             asked.body = self.content.read(bodies.LONGEST + 1)
         try:
@@ -195,6 +194,7 @@
             self.setHeader(name, value)
         self.setResponseCode(sent.status)
         self.parts, self.tail = deque(sent.parts), sent.tail
+        self.whole_size = found.content.size if found.content is not None else 0
         if self.method == b"HEAD" or found.content is None or not found.content.size:
             self.end("fulfilled")
             return
@@ -207,7 +207,7 @@
     def _wait(self, asked: Asked, size: int) -> None:
         """Waits for the same GET that is out; denied once it would be too late for its own client."""
         self.door.waiting[self.number] = self
-        latest = self.whole + round(self._job(asked, size).timeout * WAITS * SECOND)
+        latest = self.came + round(self._job(asked, size).timeout * WAITS * SECOND)
         left = max(0, latest - now_ns(self.door.network))
         self.waits = self.door.network.callLater(left / SECOND, self._waited)
 
@@ -277,7 +277,7 @@
             plan=job.plan,
             volume=job.volume,
             timeout=round(job.timeout * SECOND),
-            read_at=self.whole,
+            read_at=self.came,
             key=key,
             units=job.units,
             shard=shard,
@@ -291,13 +291,18 @@
         try:
             door.gateway.take(request, self)
         except g.BadRequest as trouble:
-            raise Reply(403, str(trouble)) from None
+            self.job = None
+            raise Reply(408 if trouble.code == "late_body" else 403, str(trouble)) from None
 
     # --- the job's answer (gateway.Asker) ---
 
     def fulfilled(self, job: int, size: int, shard: int) -> None:
         if self.staged is None:
-            return  # a GET: its bytes come
+            if size != self.whole_size:
+                # The node holds other bytes under this key: its length would never be reached, or be overrun.
+                self._ended(502, "the node holds something else", 0, "not as kept")
+                self.door.gateway.leave(job)
+            return  # its bytes come
         staged, self.staged, self.job = self.staged, None, None
         content = Content(self.door.key_of(staged), shard, self.size, "", self.kind)
         try:
@@ -313,7 +318,7 @@
         self.answer(status, "", {"ETag": entry.tag}, "fulfilled")
 
     def piece(self, job: int, data: bytes) -> None:
-        if self.finished or self._disconnected:
+        if self.finished or self._disconnected or self.job is None:
             self.door.gateway.room(job, len(data))
             return
         at, end = self.at, self.at + len(data)
@@ -332,7 +337,8 @@
             self.unregisterProducer()
             self.end("fulfilled")
             self.door.gateway.room(job, len(data))
-            self.door.gateway.leave(job)  # what lies beyond the last range is read by nobody
+            if end < self.whole_size:
+                self.door.gateway.leave(job)  # what lies beyond the last range is read by nobody
         elif self.blocked:
             self.owed += len(data)
         else:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -445,9 +445,11 @@
     body.transport.write(b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n")
     steady.transport.write(b"PUT /b HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n")
     for _ in range(10):
-        body.transport.write(b"x" * 50)
         steady.transport.write(b"x" * 1000)
-        house.yard.run(0.5)
+        house.yard.run(0.15)
+    for _ in range(10):
+        body.transport.write(b"x" * 50)
+        house.yard.run(0.4)
     assert heads.data.startswith(b"HTTP/1.1 408 ") and heads.lost and body.data.startswith(b"HTTP/1.1 408 ") and body.lost
     assert steady.next()[0] == 201 and house.door.counts["ended for sending too slowly"] == 2
 
@@ -657,3 +659,23 @@
     client.transport.resumeProducing()
     house.yard.run(30)
     assert client.data.count(b"<D:response>") == 50_001 and client.data.endswith(b"0\r\n\r\n")
+
+
+def test_an_object_that_is_not_as_kept_is_told_and_never_hangs_its_reader(house, client):
+    """Guards against a length that is promised and never reached, where nodes hold other bytes than names say."""
+    client.ask("PUT", "/f", b"0123456789")
+    key = house.store.legs[0].key
+    for wrong in (b"0123", b"", b"0123456789abc"):
+        house.store.objects[key] = wrong
+        status, headers, _ = client.ask("GET", "/f", seconds=1)
+        assert status == 502 and "etag" not in headers
+    house.store.objects[key] = b"0123456789"
+    assert client.ask("GET", "/f")[2] == b"0123456789" and house.yard.gateway.ledger.open == 0
+
+
+def test_a_body_that_comes_after_its_clients_time_is_told_so_and_runs_nothing(house, client):
+    client.transport.write(b"PUT /f HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n")
+    for _ in range(30):
+        client.transport.write(b"x" * 1000)
+        house.yard.run(0.1)
+    assert client.next()[0] == 408 and not house.store.legs and client.ask("GET", "/f")[0] == 404
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -235,7 +235,7 @@
         (["check", "none.cue"], 1, "No such file"),
         (["day", "run", "nosuchday"], 2, "there is no built-in day 'nosuchday'"),
         (["day", "from-bench", "none.json"], 2, "none.json: No such file"),
-        (["load", "quiet", "nowhere"], 2, "'nowhere' is no address"),
+        (["load", "day", "quiet", "nowhere"], 2, "'nowhere' is no address"),
         (["audit", "none.jsonl", "--day", "quiet"], 2, "does not exist"),
         (["fly"], 2, "No such command"),
     ],
