--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -138,9 +138,6 @@
         return None
 
     def _well_formed(self, asked: Asked) -> None:
-        hosts = self.requestHeaders.getRawHeaders(b"host") or []
-        if len(hosts) > 1 or (not hosts and self.clientproto == b"HTTP/1.1"):
-            raise Reply(400, "one Host header is due")  # RFC 9112 3.2
         expected = asked.said("expect").lower()
         if expected and expected != "100-continue":
             raise Reply(417, "100-continue is all that can be expected here")
@@ -521,6 +518,10 @@
 
     def allHeadersReceived(self) -> None:
         request: Dav = self.requests[-1]
+        hosts = request.requestHeaders.getRawHeaders(b"host") or []
+        if len(hosts) > 1 or (not hosts and self._version == b"HTTP/1.1"):  # RFC 9112 3.2
+            self._bad(b"400 Bad Request")
+            return
         request.head(self.factory, self._command, self._path, self._version)
         expects = request.requestHeaders.hasHeader(b"expect")
         if self.length is None or self.length > SMALL or (self.length and expects):
@@ -538,6 +539,8 @@
             super().rawDataReceived(data)
 
     def allContentReceived(self) -> None:
+        if self.refused:
+            return
         self._arrived()
         super().allContentReceived()
 
