Streams: their legs free their node's place, and long bodies have connections of their own

Small reads beside ten downloads of 64 MiB waited for 1.6 s at p99: a leg held its place at the node until its client had read all, and short answers stood behind long ones on one connection. Now a stream that began no longer counts as out (decide.py, one line), a leg's time runs until its answer began, and legs of products whose last answer was long take connections of their own.

--- /dev/null
+++ b/benchmarks/http_relay.py
@@ -0,0 +1,76 @@
+"""A bare HTTP relay in a process of its own: Twisted's HTTP channel before the nodes' framing, and no decisions."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from ochrecourse.cli.steady import raise_files, steady_reactor
+
+reactor = steady_reactor()
+
+from twisted.internet.protocol import ClientFactory  # noqa: E402
+from twisted.web.http import HTTPChannel, HTTPFactory, Request  # noqa: E402
+
+from ochrecourse.wire import messages as m  # noqa: E402
+from ochrecourse.wire.framed import Framed  # noqa: E402
+from ochrecourse.wire.moves import Side, leg_moves  # noqa: E402
+
+OUTS: list[Out] = []
+
+
+class Out(Framed):
+    """A connection to the node."""
+
+    def __init__(self) -> None:
+        super().__init__(reactor, Side.ASKING, leg_moves())
+        self.waiting: dict[int, Passed] = {}
+        self.count = 0
+
+    def ready(self) -> None:
+        self.say(m.Hello(version=m.VERSION, role="gateway"))
+        OUTS.append(self)
+
+    def took(self, message: Any, body: bytes, after: Any) -> None:
+        if isinstance(message, m.Done):
+            request = self.waiting.pop(message.id)
+            request.setHeader("Content-Length", str(message.size))
+            request.write(body)
+            request.finish()
+
+
+class Passed(Request):
+    """A request that goes on to the node as it is; bodies of one message only."""
+
+    def process(self) -> None:
+        out, body = OUTS[0], self.content.read()
+        out.count += 1
+        out.waiting[out.count] = self
+        write = self.method == b"PUT"
+        product = "note-save" if write else "page-read"
+        out.say(
+            m.LegSent(id=out.count, mark=str(out.count), product=product, volume=1, key=1, units=1.0, shard=-1, write=write, size=len(body)),
+            body,
+        )
+
+
+class Channel(HTTPChannel):
+    requestFactory = Passed
+
+
+def main() -> None:
+    raise_files()
+    factory = HTTPFactory(reactor=reactor)  # type: ignore[arg-type]
+    factory.protocol = Channel  # type: ignore[assignment]
+    factory.log = lambda request: None  # type: ignore[method-assign]
+    outs = ClientFactory()
+    outs.noisy = False
+    outs.buildProtocol = lambda address: Out()  # type: ignore[method-assign, assignment]
+    reactor.connectTCP("127.0.0.1", int(sys.argv[1]), outs)
+    listening = reactor.listenTCP(0, factory, backlog=4096, interface="127.0.0.1")
+    print(f"listening 127.0.0.1:{listening.getHost().port}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -250,6 +250,8 @@
     def stream_began(self, job: int) -> None:
         if held := self.jobs.get(job):
             held.streaming = True
+            # Guards against slow readers who would hold a node's places: its own work is done.
+            self._free(held)
 
     def job_gone(self, job: int) -> None:
         if held := self.jobs.get(job):
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -101,7 +101,7 @@
 class _Task:
     """A job between its request and its end: what the gateway needs to carry it out."""
 
-    __slots__ = ("answer_left", "asker", "leg", "request", "story")
+    __slots__ = ("answer_left", "asker", "began", "leg", "request", "story")
 
     def __init__(self, request: Request, asker: Asker, story: JobStory) -> None:
         self.request = request
@@ -109,6 +109,7 @@
         self.story = story
         self.leg: LegOut | None = None
         self.answer_left = 0
+        self.began = 0  # ns, when the answer of the leg that is out began to stream
 
 
 class Gateway:
@@ -251,6 +252,7 @@
         task = self.tasks[leg.job]
         if answer.size > answer.body:
             task.story.streaming = True
+            task.began = now_ns(self.clock)
             self.host.stream_began(task.story.number)
         if self.ledger.answer(task.story.number, Closing.FULFILLED, now_ns(self.clock)) is not None:
             task.answer_left = answer.size
@@ -272,6 +274,7 @@
         story, _ = self.ledger.ended(job, leg.message.number, proof.ending, seen.value, now)
         self.reach.ended(leg.node, proof.ending)
         task.leg = None
+        began, task.began = task.began, 0
         if task.answer_left and seen is not Seen.DONE:
             task.answer_left = 0
             self.ledger.broke_off(story)
@@ -282,7 +285,8 @@
             number=leg.message.number,
             node=leg.node,
             ending=proof.ending,
-            took=now - leg.sent_at,
+            # A stream took until it began: how fast its client reads is not the node's doing.
+            took=(began or now) - leg.sent_at,
             last=story.closing is not None,
             volume_used=told.used if told else -1.0,
             elsewhere=told.elsewhere if told else 0,
--- a/ochrecourse/nodes/carrier.py
+++ b/ochrecourse/nodes/carrier.py
@@ -150,7 +150,7 @@
         if self.address_of(node) is None:
             self.clock.callLater(0, self._end, leg, Seen.UNLISTED, None)
             return leg
-        place = self.pool.place(node, leg.number)
+        place = self.pool.place(node, leg.number, message.product, message.size > m.MAX_BODY)
         if place.line is None:
             self.clock.callLater(0, self._end, leg, Seen.NO_ROOM, None)
             return leg
@@ -237,6 +237,7 @@
         """A message for a leg that is still waited for; `over`: it was the last one."""
         if isinstance(message, m.Done):
             leg.answer = message
+            self.pool.answered(leg.message.product, message.size > message.body)
             leg.taker.began(leg, message)
         leg.heard_at = self.clock.seconds()
         if body and not leg.over:
--- a/ochrecourse/nodes/pool.py
+++ b/ochrecourse/nodes/pool.py
@@ -2,9 +2,10 @@
 
 Each node has a pool of connections, each carries several legs. A leg takes the open connection with the
 fewest legs; when all are full and the node's cap allows it, one more is dialled, and the leg waits for that
-dial. Dials of one gateway are bounded in number: after a mass restart the rest wait in order of arrival, so
-that the nodes meet no storm of handshakes. All figures come from the settings; the host asks, tells what
-happened, and pulls what to do.
+dial. Legs with long bodies, by what was seen of their product, have connections of their own, at most half of
+a node's: a short answer never waits behind the bytes of a long one. Dials of one gateway are bounded in
+number: after a mass restart the rest wait in order of arrival, so that the nodes meet no storm of handshakes.
+All figures come from the settings; the host asks, tells what happened, and pulls what to do.
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
 
     number: int
     node: int
+    long: bool = False  # for legs with long bodies
     state: State = State.QUEUED
     legs: int = 0
     idle_since: int = 0
@@ -63,14 +65,30 @@
         self.idle: OrderedDict[int, Line] = OrderedDict()  # open without a leg, longest first
         self.dialling = 0
         self.count = 0
+        self.long: set[str] = set()  # products whose last answer was long
 
     # --- what the host asks and tells ---
 
-    def place(self, node: int, leg: int) -> Place:
-        """Where a leg for this node goes. It counts on that connection until `leg_over`."""
+    def answered(self, product: str, long: bool) -> None:
+        """A leg's answer began: whether more of it is to come than one message holds."""
+        if long:
+            self.long.add(product)
+        else:
+            self.long.discard(product)
+
+    def place(self, node: int, leg: int, product: str = "", long: bool = False) -> Place:
+        """Where a leg for this node goes. It counts on that connection until `leg_over`. `long`: its own body
+        is.
+        """
         lines = self.lines.setdefault(node, {})
+        apart = self.limits.connections > 1
+        long = apart and (long or product in self.long)
         best: Line | None = None
+        count = 0
         for line in lines.values():
+            if line.long is not long:
+                continue
+            count += 1
             if line.state is State.LEAVING or line.legs >= self.limits.legs:
                 continue
             if best is None or (line.state is not State.OPEN, line.legs) < (
@@ -79,10 +97,11 @@
             ):
                 best = line
         if best is None:
-            if len(lines) >= self.limits.connections:
+            of_long = self.limits.connections // 2 if self.long or long else 0
+            if count >= (of_long if long else self.limits.connections - of_long):
                 return Place(None, False)
             self.count += 1
-            best = lines[self.count] = Line(self.count, node)
+            best = lines[self.count] = Line(self.count, node, long)
             self.queue[best.number] = best
         best.legs += 1
         self.idle.pop(best.number, None)
--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -322,14 +322,14 @@
         self.at = end
         while self.parts and self.parts[0].first < end:
             first, last, head = self.parts[0]
-            if at <= first:
-                self.write(head)
-            self.write(data[max(first, at) - at : last + 1 - at])
+            mine = data[max(first, at) - at : last + 1 - at]
+            self.write(head + mine if head and at <= first else mine)
             if last >= end:
                 break
             self.parts.popleft()
         if not self.parts:
-            self.write(self.tail)
+            if self.tail:
+                self.write(self.tail)
             self.job = None
             self.unregisterProducer()
             self.end("fulfilled")
@@ -484,6 +484,7 @@
         self.totalHeadersSize, self.maxHeaders = door.figures.header_bytes, door.figures.headers
         self.MAX_LENGTH = door.figures.header_bytes
         self.open = len(door.channels) < door.figures.connections
+        door.rests(self)
         super().connectionMade()
         if not self.open:
             door.counts["connections over the cap"] += 1
@@ -500,6 +501,7 @@
         super().dataReceived(data)
 
     def _coming(self) -> None:
+        self.factory.resting.pop(self, None)
         self.arrival = Arrival(now_ns(self.factory.network))
         self.factory.arriving[self] = self.arrival
         self.factory.sweep()
@@ -550,6 +552,7 @@
 
     def requestDone(self, request: Request) -> None:
         if not self.refused:
+            self.factory.rests(self)
             super().requestDone(request)
             if self._buffer and not self._handlingRequest and self.arrival is None:
                 self._coming()
@@ -583,6 +586,7 @@
     def connectionLost(self, reason: Any = None) -> None:
         self._arrived()
         self.factory.channels.pop(self, None)
+        self.factory.resting.pop(self, None)
         self.factory.closed += 1
         super().connectionLost(reason)
 
@@ -611,7 +615,7 @@
         quota: Quota = Quota({}),  # noqa: B008
         access: Callable[..., None] | None = None,
     ) -> None:
-        super().__init__(timeout=figures.idle / SECOND, reactor=network)  # type: ignore[arg-type]
+        super().__init__(timeout=None, reactor=network)  # type: ignore[arg-type]
         self.door = self
         self.gateway = gateway
         self.network = network
@@ -629,6 +633,7 @@
         self.waiting: dict[int, Dav] = {}
         self.channels: dict[Channel, None] = {}
         self.arriving: dict[Channel, Arrival] = {}
+        self.resting: dict[Channel, int] = {}  # between requests, since when; the longest first
         self.counts: Counter[str] = Counter()
         self.count = 0
         self.closed = 0  # connections so far
@@ -640,8 +645,14 @@
         if wait:
             raise Reply(429, "too many requests on this connection", {"Retry-After": str(-(-wait // SECOND))})
 
+    def rests(self, channel: Channel) -> None:
+        """A connection is between requests from now on."""
+        self.resting.pop(channel, None)
+        self.resting[channel] = now_ns(self.network)
+        self.sweep()
+
     def sweep(self) -> None:
-        """Ends connections whose requests come in too slowly, as long as any is coming in."""
+        """Ends connections whose requests come in too slowly and those that rest for too long."""
         if self._sweep is None:
             self._sweep = self.network.callLater(SWEEP, self._swept)
 
@@ -651,7 +662,13 @@
         for channel, arrival in list(self.arriving.items()):
             if arrival.too_slow(self.figures, now):
                 channel.too_slow()
-        if self.arriving:
+        while self.resting:
+            channel, since = next(iter(self.resting.items()))
+            if since + self.figures.idle > now:
+                break
+            del self.resting[channel]
+            channel.loseConnection()
+        if self.arriving or self.resting:
             self.sweep()
 
     def log(self, request: Any) -> None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -92,6 +92,24 @@
     assert pool.next_dial() is None and 71 not in pool.lines
 
 
+def test_legs_with_long_bodies_have_connections_of_their_own():
+    """Guards against short answers that wait behind the bytes of long ones."""
+    pool = Pool(PoolLimits(legs=2, connections=4, dials=9, idle=SECOND))
+    pool.answered("export", True)
+    lines = [pool.place(7, i, product).line for i, product in enumerate(["read", "export", "read", "export", "export"])]
+    assert [line.long for line in lines] == [False, True, False, True, True] and len({line.number for line in lines}) == 3
+    assert pool.place(7, 5, "save", long=True).line is lines[4]
+    assert pool.place(7, 6, "export").line is None and pool.place(7, 7, "read").line not in (None, *lines)
+    pool.answered("export", False)
+    assert pool.place(7, 8, "export").line.long is False
+
+
+def test_one_connection_carries_all():
+    pool = Pool(PoolLimits(legs=9, connections=1, dials=9, idle=SECOND))
+    pool.answered("export", True)
+    assert pool.place(7, 1, "export").line is pool.place(7, 2, "read").line
+
+
 def test_idle_connections_are_closed_in_order_and_a_new_leg_saves_one(pool):
     lines = []
     for node in (70, 71):
@@ -332,3 +350,21 @@
     path.write_bytes(b"rubbish")
     Follower("g0", VirtualNetwork(1), ("h", 1), told.append, path, 1, warned.append).start()
     assert len(told) == 1 and "not a file of ours" in warned[0]
+
+
+START = 100 * SECOND
+
+
+def test_a_stream_that_began_frees_its_place_at_the_node(make_desk):
+    """Guards against slow readers: as many streams as a node has places would keep every other job from it."""
+    desk = make_desk()
+    jobs = [desk.take(shard=0, units=8.0) for _ in range(12)]
+    legs = [each for each in desk.pull() if hasattr(each, "node")]
+    assert 0 < len(legs) < 12
+    for leg in legs:
+        desk.host.stream_began(leg.job)
+    more = [each for each in desk.pull(START + MS) if hasattr(each, "node")]
+    assert more and {each.job for each in more} <= set(jobs) - {leg.job for leg in legs}
+    for leg in legs:
+        desk.end(leg, START + 500 * MS)
+    assert desk.host.nodes[legs[0].node].out >= 0
