--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -261,6 +261,15 @@
     answer = yield ask(line, "PROPFIND", "/v1/many", Depth="1")
     took = reactor.seconds() - began
     print(f"PROPFIND of {MEMBERS} members: {MEMBERS / took:.0f} a second, {answer.size / 1e6:.1f} MB, resident {(process.memory_info().rss - before) / 1024:+.0f} KiB", flush=True)
+    line.transport.loseConnection()
+
+
+@inlineCallbacks
+def connections(yard: Yard) -> Any:
+    """Resident size of a fresh gateway's process with many connections open, less that without."""
+    process, _, door = yard.gateway()
+    first = yield talk(door)
+    yield ask(first, "OPTIONS", "/")
     before = process.memory_info().rss
     lines = []
     for _ in range(IDLE):
@@ -333,6 +342,7 @@
         yield costs(yard, gateway, relay)
         yield fairness(gateway)
         yield sizes(gateway)
+        yield connections(yard)
         yield giant(yard)
     finally:
         yard.end()
--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -82,6 +82,7 @@
     staged: Staged | None = None
     size = 0  # of a body that is written
     kind = ""
+    digest: Any = hashlib.sha256()  # of its body so far; a body that is empty never changes this one
     members: Iterator[str] | None = None
     tail = b""
     running: Same | None = None  # a GET that others must wait for
@@ -89,9 +90,24 @@
 
     # --- the head ---
 
+    def parseCookies(self) -> None:
+        """Cookies mean nothing here."""
+
     def gotLength(self, length: int | None) -> None:
         super().gotLength(length)
-        self.digest = hashlib.sha256()
+        if length != 0:
+            self.digest = hashlib.sha256()
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """All of it is here. Queries and forms, which the channel would look for, mean nothing here."""
+        self.content.seek(0)
+        self.method, self.uri, self.path, self.clientproto = command, path, path, version
+        self.process()
+
+    def connectionLost(self, reason: Any) -> None:
+        super().connectionLost(reason)
+        if self.asked is not None and not self.finished:
+            self._client_left()
 
     def handleContentChunk(self, data: bytes) -> None:
         self.channel.arrival.got += len(data)
@@ -113,7 +129,6 @@
             }
             self.asked = Asked(method.decode("latin-1"), target.decode("latin-1"), headers)
             self.trace = headers.get("x-request-id", "")[:TRACE] or f"http-{self.number}"
-            self.notifyFinish().addErrback(self._client_left)
         return self.asked
 
     def refused_early(self, length: int | None) -> Reply | None:
@@ -369,7 +384,7 @@
         self.answer(status, text, after, how)
         self.door.over(self.number, status)
 
-    def _client_left(self, why: Any) -> None:
+    def _client_left(self) -> None:
         door = self.door
         door.waiting.pop(self.number, None)
         stop(self.waits)
--- a/ochrecourse/webdav/methods.py
+++ b/ochrecourse/webdav/methods.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from email.utils import formatdate
+from functools import lru_cache
 from itertools import islice
 from typing import NamedTuple, TypeVar
 
@@ -141,7 +142,7 @@
             "ETag": entry.tag,
             "Accept-Ranges": "bytes",
             "Content-Type": entry.content.kind if entry.content else "application/octet-stream",
-            "Last-Modified": formatdate(entry.modified / SECOND + self.epoch, usegmt=True),
+            "Last-Modified": _http_date(entry.modified // SECOND + self.epoch),
         }
         slices = None
         if conditions.range_applies(asked.headers, self._resource(entry)):
@@ -249,7 +250,7 @@
 
     def _response(self, at: Path, entry: Entry, wanted: bodies.Find, now: int) -> str:
         made = _internet_date(entry.created // SECOND + self.epoch)
-        changed = formatdate(entry.modified / SECOND + self.epoch, usegmt=True)
+        changed = _http_date(entry.modified // SECOND + self.epoch)
         known = bodies.live(entry, self.locks.covering(at), now, (made, changed))
         return bodies.response(
             at, entry, wanted, known, self._named(at, entry) if wanted.names else bodies.NONE
@@ -403,9 +404,15 @@
         return Reply(204)
 
 
+@lru_cache(4096)
+def _http_date(seconds: int) -> str:
+    """RFC 9110 5.6.7."""
+    return formatdate(seconds, usegmt=True)
+
+
 def _internet_date(seconds: int) -> str:
     """RFC 3339, from the HTTP form of the same date."""
-    _, day, month, year, clock, _ = formatdate(seconds, usegmt=True).split(" ")
+    _, day, month, year, clock, _ = _http_date(seconds).split(" ")
     return f"{year}-{MONTHS.index(month) // 3 + 1:02}-{day}T{clock}Z"
 
 
--- a/ochrecourse/webdav/paths.py
+++ b/ochrecourse/webdav/paths.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import unicodedata
+from functools import lru_cache
 from typing import NamedTuple
 from urllib.parse import quote, unquote_to_bytes, urlsplit
 
 LONGEST_SEGMENT = 255  # bytes in UTF-8; what file systems behind clients take
+REMEMBERED = 8192  # targets whose paths are kept; clients ask for the same ones again
 DEEPEST = 64  # segments; a deeper tree is a mistake of a client
 
 Path = tuple[str, ...]
@@ -31,6 +33,7 @@
     collection: bool
 
 
+@lru_cache(REMEMBERED)
 def parse(target: str) -> Target:
     """The path of an origin-form target (RFC 9112 3.2.1). Raises BadPath."""
     if not target.startswith("/"):
--- a/tests/conformance.py
+++ b/tests/conformance.py
@@ -311,6 +311,53 @@
 check("3253 3.6", "another report: 403 with its precondition", q("REPORT ", 403, '<D:expand-property xmlns:D="DAV:"/>', has="supported-report"))
 check("7240 4.3", "a client may say how long it waits", put(Prefer="wait=1"))
 
+# --- habits of clients: whole conversations, as such clients are known to hold them ---
+
+WINDOWS_TIMES = '<?xml version="1.0" encoding="utf-8"?><D:propertyupdate xmlns:D="DAV:" xmlns:Z="urn:schemas-microsoft-com:"><D:set><D:prop><Z:Win32CreationTime>Tue, 01 Dec 2026 08:00:00 GMT</Z:Win32CreationTime><Z:Win32FileAttributes>00000020</Z:Win32FileAttributes></D:prop></D:set></D:propertyupdate>'
+check(
+    "habits", "a desktop that makes an empty file, locks it, fills it, sets its times, unlocks it",
+    q("OPTIONS ", 200, head={"dav": "1, *2", "allow": "LOCK"}, User_Agent="desktop", translate="f"),
+    q("PROPFIND ", 207, Depth="0"), q("PROPFIND new.txt", 404, Depth="0"),
+    put("new.txt", "", Content_Type="text/plain"), lock("new.txt", Timeout="Second-3600"), q("HEAD new.txt", 200, If="({token})"),
+    put("new.txt", "words", status=204, If="({token})"), q("PROPPATCH new.txt", 207, WINDOWS_TIMES, has="200 OK", If="({token})"),
+    q("UNLOCK new.txt", 204, Lock_Token="{token}"), q("PROPFIND ", 207, Depth="1", has=("new.txt", "getcontentlength>5<")),
+)
+check(
+    "habits", "a finder that looks for its own side files, locks without a file, writes in chunks, asks for quota",
+    q("PROPFIND ", 207, find("getlastmodified", "getcontentlength", "creationdate", "resourcetype"), Depth="1"),
+    q("PROPFIND ", 207, find("quota-available-bytes", "quota-used-bytes", "quota", "quotaused"), Depth="0", has="quota-used-bytes>"),
+    q("PROPFIND ._a%20b.txt", 404, Depth="0"), q("PROPFIND .DS_Store", 404, Depth="0"),
+    lock("a%20b.txt", status=201, Timeout="Second-600", Depth="0"), put("a%20b.txt", "x" * 5000, If="({token})"),
+    q("LOCK a%20b.txt", 200, If="({token})", Timeout="Second-600"), q("UNLOCK a%20b.txt", 204, Lock_Token="{token}"),
+    q("GET a%20b.txt", 206, Range="bytes=0-4095", head={"content-length": "^4096$"}),
+)
+check(
+    "habits", "a mounted folder that caches: conditional reads, locked writes, a rename over the old file",
+    q("OPTIONS ", 200), q("PROPFIND ", 207, find("resourcetype", "getetag", "getcontentlength", "getlastmodified", "executable"), Depth="1"),
+    put("doc", "one", save="etag"), q("GET doc", 304, If_None_Match="{etag}"), lock("doc", Depth="0", Timeout="Second-300"),
+    q("HEAD doc", 200, head={"etag": "{etag}"}), put("doc", "two", status=204, If="({token})", save="etag"),
+    q("UNLOCK doc", 204, Lock_Token="{token}"), put("doc~", "three"), q("MOVE doc~", 204, Destination="{d}doc"),
+    q("GET doc", 200, has="^three$", If_None_Match="{etag}"), q("PROPFIND doc~", 404, Depth="0"),
+)
+check(
+    "habits", "a library that uploads under a name for the time being and moves it into place",
+    q("PROPFIND ", 207, Depth="0"), q("MKCOL week", 201), q("MKCOL week", 405), put("week/.part-1", "x" * 70_000, Expect="100-continue"),
+    q("MOVE week/.part-1", 201, Destination="http://{host}{d}week/audio.ogg", Overwrite="T"),
+    q("PROPFIND week", 207, Depth="1", has="audio.ogg", hasnt="part-1"), q("HEAD week/audio.ogg", 200, head={"content-length": "^70000$"}),
+)
+check(
+    "habits", "an app that synchronizes: only what changed, writes only what it knows, backs off from a conflict",
+    put("a", "1", save="etag"), q("REPORT ", 207, SYNC % ("", "1"), save="sync"), put("a", "2", status=204, If_Match="{etag}"),
+    put("a", "3", status=412, If_Match="{etag}"), put("b", "1", If_None_Match="*"),
+    q("REPORT ", 207, SYNC % ("{sync}", "1"), has=("/a</D:href>", "/b</D:href>")), q("GET a", 200, has="^2$"),
+)
+check(
+    "habits", "a player that asks for the head of a file, then for pieces, then for its end",
+    put("song", "0123456789" * 3000, Content_Type="audio/ogg", save="etag"), q("HEAD song", 200, head={"content-length": "^30000$", "accept-ranges": "bytes"}),
+    q("GET song", 206, Range="bytes=0-", head={"content-range": "^bytes 0-29999/30000$"}), q("GET song", 206, Range="bytes=-10", has="^0123456789$"),
+    q("GET song", 206, Range="bytes=10000-19999", If_Range="{etag}", head={"content-length": "^10000$"}),
+)
+
 NOT_KEPT = """
 | RFC | what is not kept | why |
 | --- | --- | --- |
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,6 +14,7 @@
 
 from ochrecourse.lab.day import Trouble, gateway_record
 from ochrecourse.lab.days import quiet
+from ochrecourse.lab.people import door_record
 from ochrecourse.settings.load import write
 from ochrecourse.wire import messages as m
 
@@ -400,4 +401,37 @@
     data = bytes(range(256)) * 2000
     assert ask("MKCOL", "/week")[0] == 201 and ask("PUT", "/week/f", data)[0] == 201
     assert ask("GET", "/week/f") == (200, data) and ask("GET", "/none")[0] == 404
+    serving.end(signal.SIGKILL)
+    again = running("serve", gateway.path)
+    host, _, port = again.process.stdout.readline().decode().split()[1].rpartition(":")
+    Client(again.address).serve_one()
+    client = http.client.HTTPConnection(host, int(port), timeout=LONG)
+    assert ask("GET", "/week/f") == (200, data)  # names outlive kill -9
+    assert again.end()[0] == 0
+
+
+def test_a_tree_of_another_kind_is_told_and_left_alone(gateway, tmp_path):
+    serving = gateway()
+    assert serving.end()[0] == 0
+    gateway.path.write_text(gateway.path.read_text() + "webdav: {products: [], volumes: []}\n")
+    (tmp_path / "g0.tree").write_bytes(b"something else\n")
+    done = subprocess.run(ochrecourse("serve", gateway.path), capture_output=True, text=True, timeout=LONG)
+    assert done.returncode == 2 and "names and locks are not to be had" in done.stderr and "Traceback" not in done.stderr
+    assert (tmp_path / "g0.tree").read_bytes() == b"something else\n"
+
+
+def test_people_are_sent_to_a_door_that_runs(gateway, running, tmp_path):
+    day = msgspec.structs.replace(quiet(), nodes=2, gateways=1, length_s=1.0, volumes_a_node=2.0)
+    (tmp_path / "short.json").write_bytes(msgspec.json.encode(day))
+    serving = gateway()
+    assert serving.end()[0] == 0
+    gateway.path.write_text(gateway.path.read_text() + write({"webdav": door_record(day, 0)}))
+    serving = running("serve", gateway.path)
+    door = serving.process.stdout.readline().decode().split()[1]
+    Client(serving.address).serve_one()
+    words = ochrecourse("load", "webdav", tmp_path / "short.json", door, "--people", "40", "--json")
+    done = subprocess.run(words, capture_output=True, text=True, timeout=LONG)
+    assert done.returncode == 0 and not done.stderr, done.stderr
+    told = json.loads(done.stdout)
+    assert told["counts"]["PUT 201"] > 10 and told["counts"]["MKCOL 201"] >= 2
     assert serving.end()[0] == 0
