Model: a drain ends from every state; bodies that stall and ranges of replaced objects are tested

A drain always ends was a unit test only; it is now a property of the explored states, with a seeded mistake that is found. Each quarter after which a body may stall, and a range read while its object is replaced, have a test. The table of requests to jobs is told in sentences.

--- a/ochrecourse/webdav/mapping.py
+++ b/ochrecourse/webdav/mapping.py
@@ -1,11 +1,9 @@
 """From a request to a job: product, plan, volume, key, units, effect and time. Free of I/O.
 
-| method | effect | why |
-| --- | --- | --- |
-| GET of a file | retriable | reading changes nothing; long ones are a product of their own, which can wait |
-| PUT | fingerprinted | the staged write has a mark of its own, so a node drops its repeat; the namespace
-shows it once | | the rest | no job | they change names, locks and properties only, which the namespace does
-at once |
+GET of a file is retriable: reading changes nothing, and long reads are a product of their own, which can
+wait. PUT is fingerprinted: the staged write has a mark of its own, so a node drops its repeat, and the
+namespace shows it once. The rest are no jobs: they change names, locks and properties only, which the
+namespace does at once.
 
 The product is the first of a table of the settings that fits method and size; the volume is the first segment
 of the path, so that what belongs together shares a plan. Nothing here knows a product by name.
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -621,10 +621,20 @@
         world = pickle.loads(fields["world"])
         return sum(link.state is State.ESTABLISHED for link in world.peer.links.values()) <= 1
 
+    def drain_ends(fields):
+        """From every state: begun now if it was not, with peers that never read and jobs that end late."""
+        drain, now = pickle.loads(fields["world"]).drain, START
+        drain.begin(now)
+        for look in range(4):
+            now += sum(drain.figures)
+            drain.look(now, False, 1 if look < 3 else 0)
+        return drain.stage is Stage.LEFT
+
     return Protocol(
         name="speaker", candidate=False, fields=("world", "level"), initial=(start.key(), 0), transitions=successors,
         invariants={"announced only if fit": announced_only_if_fit, "updates only in Established": sound,
-                    "told once up and fit": told_when_up, "one session": one_session},
+                    "told once up and fit": told_when_up, "one session": one_session,
+                    "a drain always ends": drain_ends},
     )  # fmt: skip
 
 
@@ -654,3 +664,17 @@
     protocol.transitions = narrow
     told = check_safety(protocol, max_states=200_000)["properties"]["told once up and fit"]
     assert not told["holds"] and len(told["counterexample"]) <= 9
+
+
+def test_the_checker_finds_a_drain_that_waits_for_ever(monkeypatch):
+    """A seeded mistake: a peer that does not read is waited for without an end."""
+    whole = Drain.look
+
+    def patient(self, now, told, jobs):
+        if self.stage is Stage.WITHDRAWN and not told:
+            return self.stage
+        return whole(self, now, told, jobs)
+
+    monkeypatch.setattr(Drain, "look", patient)
+    result = check_safety(explored(depth=2), max_states=500_000)
+    assert not result["properties"]["a drain always ends"]["holds"]
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -679,3 +679,23 @@
         client.transport.write(b"x" * 1000)
         house.yard.run(0.1)
     assert client.next()[0] == 408 and not house.store.legs and client.ask("GET", "/f")[0] == 404
+
+
+@pytest.mark.parametrize("quarter", [0, 1, 2, 3])
+def test_a_body_that_stalls_after_each_quarter_is_ended_and_leaves_the_old_object(house, client, quarter):
+    client.ask("PUT", "/f", b"old!")
+    writer = house.open()
+    writer.transport.write(b"PUT /f HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n" + b"x" * (1000 * quarter))
+    house.yard.run(8)
+    assert writer.data.startswith(b"HTTP/1.1 408 ") and writer.lost and len(house.store.legs) == 1
+    assert client.ask("GET", "/f")[2] == b"old!"
+
+
+def test_a_range_of_an_object_that_is_replaced_while_it_is_read_is_of_the_old_one(house, client):
+    client.ask("PUT", "/f", b"0123456789")
+    house.store.late = 0.1
+    client.send("GET", "/f", seconds=0.03, Range="bytes=2-4")
+    assert house.open().ask("PUT", "/f", b"abcdefghij", seconds=1)[0] == 204
+    status, headers, body = client.next()
+    assert (status, body, headers["content-range"]) == (206, b"234", "bytes 2-4/10")
+    assert client.ask("GET", "/f", Range="bytes=2-4", seconds=1)[2] == b"cde"
