--- a/ochrecourse/membership/registry.py
+++ b/ochrecourse/membership/registry.py
@@ -5,8 +5,8 @@
 
 - A range is pinned to the revision of its first page, and taken whole or not at all.
 - A watch begins right after the last revision whose changes are known here. That is the range's, or that of
-  the newest change taken; what a stream says of its progress is a sign of life only, for it may be told before
-  a change that it covers.
+  the newest change taken; what a stream says of its progress is a sign of life only, for it may be told
+  before a change that it covers.
 - A change counts once, by its key and revision, whatever is told again; an older one never undoes a newer.
 - A compacted start, or a range whose revision was compacted between pages, means reading the range anew; the
   difference to what was known is what is told.
