--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -99,7 +99,7 @@
         town.run(4)
         heard = [at for at, news in town.lists[0] if any(e.node == 2 and e.health is Health.DRAINING for e in news.entries)]
         assert heard, (seed, town.gateways[0].counts)
-        limit = 0.3 if trouble == "nothing" else 2.6
+        limit = 0.3 if trouble == "nothing" else 2.0
         assert heard[0] - told < limit * SECOND, (seed, (heard[0] - told) / SECOND, town.gateways[0].counts)
 
 
