--- a/ochrecourse/lab/play.py
+++ b/ochrecourse/lab/play.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from ochrecourse.audit import records as r
 from ochrecourse.decide import Host
 from ochrecourse.durable.journal import InMemory
@@ -20,12 +22,15 @@
 from ochrecourse.lab.prober import Prober
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership.view import Copy
-from ochrecourse.outside import Network, now_ns
+from ochrecourse.outside import MS, Network, now_ns
 from ochrecourse.settings.load import resolve, write
 from ochrecourse.standins.bgppeer import StandInPeer
 from ochrecourse.standins.fleet import Fleet
 from ochrecourse.standins.machine import Meter
+from ochrecourse.standins.registry import Endpoint, Store
+from ochrecourse.wire import messages as m
 
+PREFIX = b"/ochrecourse/nodes/"
 WARM_UP = 0.5  # s before the first job, in which lists and connections come up
 TAIL = 8.0  # s after the last job, more than any client waits with all its tries
 
@@ -90,6 +95,42 @@
     return sorted(kills)
 
 
+class Mirror:
+    """The day's list as a registry of three servers tells it. Gateways count as told at the change itself."""
+
+    def __init__(self, play: VirtualPlay) -> None:
+        self.play = play
+        self.store = Store()
+        for line in play.fleet.list.lines.values():
+            self._put(line)
+        self.ends = [Endpoint(play.network, self.store, member) for member in range(3)]
+        play.fleet.list.mirrors.append(self.change)
+        play.fleet.list.followers.append(self.go)
+
+    def change(self, line: m.Listed) -> None:
+        now = now_ns(self.play.network)
+        started = 0 if line.started_ms_ago < 0 else now - round(line.started_ms_ago * MS)
+        for seat in self.play.seats:
+            told = r.ListTold(t=now, gateway=seat.name, node=line.node, health=line.health, started=started)
+            self.play.record(told)
+        self._put(line)
+
+    def go(self, gone: bool) -> None:
+        for end in self.ends:
+            if gone:
+                end.stop()
+            else:
+                end.start()
+
+    def _put(self, line: m.Listed) -> None:
+        key = PREFIX + str(line.node).encode()
+        if line.health == "gone":
+            self.store.put(key, None)
+            return
+        told = msgspec.structs.asdict(line) | {"written_ms": now_ns(self.play.network) / MS}
+        self.store.put(key, msgspec.json.encode(told))
+
+
 class Seat:
     """One gateway of a virtual day, over its lives: the daemon as it ships, less its process."""
 
@@ -112,6 +153,10 @@
         gateway["seed"] = play.day.seed * 1_000_003 + self.index * 1009 + self.lives
         if play.peer is not None:
             record["bgp"] = bgp_record(play.day, self.index, play.peer.port)
+        if play.mirror is not None:
+            record["list"] = {"address": ""}
+            servers = [f"127.0.0.1:{end.port}" for end in play.mirror.ends]
+            record["registry"] = {"servers": servers, "prefix": PREFIX.decode()}
         if play.people is not None:
             record["webdav"] = door_record(play.day, self.door_port)
         resolved = resolve(write(record), self.name)
@@ -177,9 +222,11 @@
         announces: bool = False,
         steers: bool = False,
         people: int = 0,
+        registry: bool = False,
     ) -> None:
         """`announces`: gateways tell a stand-in BGP peer of their addresses; `steers`: clients go by its
-        table; `people`: so many come to the WebDAV doors, in place of the day's own clients.
+        table; `people`: so many come to the WebDAV doors, in place of the day's own clients;
+        `registry`: a registry tells of nodes, in place of the list server.
         """
         self.day = day
         self.decisions = decisions
@@ -191,6 +238,7 @@
         if self.peer is not None:
             self.peer.on_change = self._announced
         self.warnings: list[str] = []
+        self.mirror = Mirror(self) if registry else None
         self.seats = [Seat(self, index) for index in range(day.gateways)]
         doors = {seat.index: seat.door for seat in self.seats}
         self.people = People(self.network, day, doors, self.record, people) if people else None
--- a/ochrecourse/standins/fleet.py
+++ b/ochrecourse/standins/fleet.py
@@ -262,13 +262,8 @@
             self.network.callLater(span, self._again, node)
 
     def _list_gone(self, *_: Any) -> Callable[[], None]:
-        self.list.gone = True
-        self.list.break_all()
-
-        def mend() -> None:
-            self.list.gone = False
-
-        return mend
+        self.list.go(True)
+        return lambda: self.list.go(False)
 
     def close(self) -> None:
         for node in self.living():
--- a/ochrecourse/standins/listserver.py
+++ b/ochrecourse/standins/listserver.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any, ClassVar
 
 import msgspec
@@ -69,6 +70,8 @@
         self.changes: list[m.Listed] = []  # the last ones; the newest made version `epoch`
         self.ports: dict[ListPort, None] = {}
         self.gone = False
+        self.mirrors: list[Callable[[m.Listed], None]] = []  # hear of each change
+        self.followers: list[Callable[[bool], None]] = []  # hear when the list goes (true) and comes back
 
     def buildProtocol(self, addr: Any) -> ListPort | None:
         return None if self.gone else ListPort(self)
@@ -86,6 +89,8 @@
             self.lines.pop(line.node, None)
         else:
             self.lines[line.node], self.started[line.node] = line, started
+        for mirror in self.mirrors:
+            mirror(self._aged(line))
         for port in list(self.ports):
             # A follower hears of changes in their order, however the delays fall.
             port.next_at = max(port.next_at, self.clock.seconds() + self.chance.uniform(0, self.spread))
@@ -100,6 +105,14 @@
         else:
             port.tell("full", self.epoch, [self._aged(line) for _, line in sorted(self.lines.items())])
 
+    def go(self, gone: bool) -> None:
+        """The list can't be reached from now on, or can again."""
+        self.gone = gone
+        if gone:
+            self.break_all()
+        for follower in self.followers:
+            follower(gone)
+
     def break_all(self) -> None:
         for port in list(self.ports):
             port.cut()
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -177,3 +177,14 @@
     path.write_text(json.dumps({name: part for name, part in BENCH.items() if name != gone}))
     with pytest.raises(BadDay, match=f"no '{gone}'"):
         from_bench_file(path)
+
+
+@pytest.mark.parametrize("kind", ["preempt", "mass_restart", "list_gone", "balancer_roll"])
+def test_a_day_with_a_registry_in_the_loop_keeps_every_rule(kind):
+    day = shortened(kind, 1)
+    played = VirtualPlay(day, registry=True).run()
+    verdict = audit(figures_of(day), played.records)
+    assert verdict.kept(), verdict.lines()
+    assert played.outcomes.payoff() > 0.8 * VirtualPlay(day).run().outcomes.payoff()
+    if kind == "preempt":
+        assert verdict.findings[2].tested
