A gateway enters itself in the registry under a lease; members show, watch and accept

A lost lease makes the service address the last choice and stops nothing. ochrecourse members shows the list, what is not believed and why, and accepts a registry that was restored.

--- a/ochrecourse/bgp/fitness.py
+++ b/ochrecourse/bgp/fitness.py
@@ -53,6 +53,7 @@
     has_list: bool = True
     list_age: int = 0
     list_fresh: bool = True  # at least one list came in this life
+    enrolled: bool = True  # its entry in the registry stands, or it has none
     nodes_ready: int = 1
     nodes_reached: int = 1
     jobs: int = 0
@@ -151,6 +152,8 @@
             told.append("only the kept list")
         elif self.figures.list_age and sight.list_age > self.figures.list_age:
             told.append(f"the list is {sight.list_age / SECOND:.0f} s old")
+        if not sight.enrolled:
+            told.append("its lease in the registry is lost")
         if sight.nodes_reached < self.figures.nodes_share * sight.nodes_ready:
             told.append(f"{sight.nodes_reached} of {sight.nodes_ready} nodes are reached")
         if sight.jobs >= LEAST_JOBS and sight.written_off > self.figures.failed_share:
--- a/ochrecourse/cli/control.py
+++ b/ochrecourse/cli/control.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -39,8 +40,13 @@
         asked = json.loads(line)
         do = asked["do"]
     except (ValueError, TypeError, KeyError):
-        return {"error": 'a line is {"do": "show"}, drain or undrain'}
-    if daemon.speaker is None:
+        return {"error": 'a line is {"do": "show"}, drain, undrain, members or accept'}
+    if do == "members":
+        members: dict[str, Any] = daemon.members()
+        return members
+    if do == "accept":
+        return {"done": daemon.accept_members(), "stage": "the registry is read anew"}
+    if do in ("show", "drain", "undrain") and daemon.speaker is None:
         return {"error": "this gateway's settings have no part bgp"}
     if do == "show":
         report: dict[str, Any] = daemon.speaker.report()
@@ -49,7 +55,7 @@
         return {"done": daemon.speaker.begin_drain(), "stage": daemon.speaker.drain.stage.name.lower()}
     if do == "undrain":
         return {"done": daemon.speaker.undo_drain(), "stage": daemon.speaker.drain.stage.name.lower()}
-    return {"error": f"nothing is done for {do!r}; there are show, drain and undrain"}
+    return {"error": f"nothing is done for {do!r}; there are show, drain, undrain, members and accept"}
 
 
 def ask(path: Path, do: str) -> dict[str, Any]:
@@ -116,6 +122,72 @@
     _did(ask(control, "undrain"))
 
 
+@click.group()
+def members() -> None:
+    """Show the list of nodes that a running gateway holds; accept a registry that went back.
+
+    SOCKET is its `gateway.control`.
+    """
+
+
+@members.command("show")
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="The whole report as JSON.")
+def show_members(control: Path, as_json: bool) -> None:
+    """Where the list comes from, how old it is, and its nodes."""
+    told = ask(control, "members")
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return
+    for line in member_lines(told):
+        click.echo(line)
+
+
+@members.command()
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+@click.option("--seconds", default=1.0, help="Between looks.")
+@click.option("--looks", default=0, help="How many; 0: until it is ended.")
+def watch(control: Path, seconds: float, looks: int) -> None:
+    """Show what changes in the list, line by line."""
+    before: dict[int, Any] = {}
+    count = 0
+    while not looks or count < looks:
+        if count:
+            time.sleep(seconds)
+        count += 1
+        nodes = {each["node"]: each for each in ask(control, "members")["nodes"]}
+        for number in sorted(before.keys() | nodes.keys()):
+            old, new = before.get(number), nodes.get(number)
+            if new is None:
+                click.echo(f"node {number} is gone")
+            elif old is None or any(old[name] != new[name] for name in ("health", "address", "shard")):
+                click.echo(f"node {number} is {new['health']} at {new['address']}, shard {new['shard']}")
+        sys.stdout.flush()
+        before = nodes
+
+
+@members.command()
+@click.argument("control", metavar="SOCKET", type=click.Path(path_type=Path))
+def accept(control: Path) -> None:
+    """Take the registry as it is, though it went back or is another one."""
+    _did(ask(control, "accept"))
+
+
+def member_lines(told: dict[str, Any]) -> list[str]:
+    """The report in words."""
+    age = "never came in this life" if told["age_s"] is None else f"{told['age_s']} s old"
+    line = "connected" if told["connected"] else "not connected"
+    lines = [f"list       from a {told['from']}, {line}, version {told['epoch']}, {age}"]
+    if told.get("not_believed"):
+        lines.append(f"not believed: {told['not_believed']}; accept it if the registry was restored")
+    if told["lease"] is not None:
+        lines.append(f"lease      {'held' if told['lease'] else 'not held'}")
+    for each in told["nodes"]:
+        where = f"{each['address']}, shard {each['shard']}, zone {each['zone']}"
+        lines.append(f"node       {each['node']}: {each['health']} at {where}")
+    return [*lines, *(f"note       {why}: {count}" for why, count in told.get("notes", {}).items())]
+
+
 def _did(told: dict[str, Any]) -> None:
     click.echo(f"{'done' if told['done'] else 'nothing was done'}: {told['stage']}")
     sys.exit(0 if told["done"] else 1)
--- a/ochrecourse/cli/main.py
+++ b/ochrecourse/cli/main.py
@@ -20,6 +20,7 @@
     "load": ("ochrecourse.cli.load:load", "Send a day's jobs, or people at WebDAV doors, to gateways."),
     "day": ("ochrecourse.cli.day:day", "List, run and convert scripted days."),
     "bgp": ("ochrecourse.cli.control:bgp", "Show, drain and undrain a running gateway's service addresses."),
+    "members": ("ochrecourse.cli.control:members", "Show and accept the list of nodes that a gateway holds."),
     "audit": ("ochrecourse.cli.audit:audit_records", "Judge the seven rules from records."),
 }
 
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from ochrecourse.bgp.fitness import Sight, Stage
 from ochrecourse.bgp.setup import setup_of
 from ochrecourse.bgp.speaker import Speaker
@@ -19,6 +21,7 @@
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway, Observer
 from ochrecourse.interface import Decisions, Health
+from ochrecourse.membership.enrolled import Enrolled
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.registrar import Registrar, age_clock
 from ochrecourse.membership.view import Copy, News
@@ -78,6 +81,7 @@
         self.front = FrontFactory(self.gateway, network, record["clients"]["connections"])
         kept = Path(own["state"]) / f"{own['name']}.nodes" if own["state"] else None
         self.follower = self._follower(record, kept, seed ^ 0x5DEECE66D, warn, epoch)
+        self.enrolled = self._enrolled(record, seed)
         self.listening: Any = None
         self.door: Door | None = None
         if "webdav" in record:
@@ -113,6 +117,26 @@
         assert where is not None  # checked when the settings were read
         return Follower(record["gateway"]["name"], self.network, where, self._news, kept, seed, warn)
 
+    def _enrolled(self, record: Mapping[str, Any], seed: int) -> Enrolled | None:
+        """This gateway's own entry in the registry, if it is to have one."""
+        if "registry" not in record or not record["registry"]["own"]:
+            return None
+        said, own = record["registry"], record["gateway"]
+        servers = [where for each in said["servers"] if (where := address(each)) is not None]
+        networks = [each["network"] for each in record["bgp"]["addresses"]] if "bgp" in record else []
+
+        def value() -> bytes:
+            who = {"name": own["name"], "number": own["number"], "listen": self.listens()}
+            return msgspec.json.encode({**who, "addresses": networks})
+
+        key = (said["own"] + own["name"]).encode()
+        return Enrolled(self.network, servers, key, value, round(said["lease"] / 1000), seed)
+
+    def listens(self) -> str:
+        """HOST:PORT of the native framing; empty before it serves."""
+        at = self.listening.getHost() if self.listening is not None else None
+        return f"{at.host}:{at.port}" if at is not None else ""
+
     def start(self) -> tuple[str, int]:
         """Serves from now on; returns the address that it listens on. Raises CannotListenError."""
         host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
@@ -125,6 +149,8 @@
             )
         if self.speaker is not None:
             self.speaker.start()
+        if self.enrolled is not None:
+            self.enrolled.start()
         at = self.listening.getHost()
         return at.host, at.port
 
@@ -141,6 +167,8 @@
                 port.stopListening()
         self.gateway.stop()
         self.follower.stop()
+        if self.enrolled is not None:
+            self.enrolled.stop()
         for front in list(self.front.fronts):
             front.cut()
         for channel in list(self.door.channels) if self.door is not None else ():
@@ -169,6 +197,7 @@
             # A list that is followed is as fresh as its connection, however long ago it last changed.
             list_age=0 if self.follower.line is not None else age or 0,
             list_fresh=age is not None,
+            enrolled=self.enrolled is None or self.enrolled.held() or not self.enrolled.lease.lost,
             nodes_ready=len(ready),
             nodes_reached=gateway.reach.reached(ready, now),
             jobs=recent.jobs,
@@ -188,6 +217,31 @@
             return False, "no room for more jobs"
         return True, "ready"
 
+    def members(self) -> dict[str, Any]:
+        """What this gateway holds of the list of nodes, and how sure of it it is."""
+        follower, now = self.follower, now_ns(self.network)
+        age = follower.view.age(now)
+        told: dict[str, Any] = {
+            "from": "registry" if isinstance(follower, Registrar) else "list server",
+            "connected": follower.line is not None,
+            "epoch": follower.view.epoch,
+            "age_s": None if age is None else round(age / SECOND, 3),
+            "nodes": [msgspec.structs.asdict(line) for _, line in sorted(follower.view.lines.items())],
+            "counts": dict(follower.counts),
+            "lease": None if self.enrolled is None else self.enrolled.held(),
+        }
+        if isinstance(follower, Registrar):
+            told["not_believed"] = follower.feed.restored
+            told["notes"] = dict(follower.roster.notes)
+        return told
+
+    def accept_members(self) -> bool:
+        """An operator says that a registry that went back is right; False if there is nothing to accept."""
+        if not isinstance(self.follower, Registrar) or not self.follower.feed.restored:
+            return False
+        self.follower.accept()
+        return True
+
     def take_over(self, record: Mapping[str, Any]) -> tuple[list[str], list[str]]:
         """Settings that were read again: what changed and is in force now, and what needs a restart."""
         taken: list[str] = []
@@ -238,6 +292,9 @@
             for each in self.speaker.addresses:
                 told[f'bgp_standing{{network="{each.setup.network}"}}'] = int(each.fitness.standing)
                 told[f'bgp_changes_total{{network="{each.setup.network}"}}'] = each.fitness.changes
+        if self.enrolled is not None:
+            told["registry_lease_held"] = float(self.enrolled.held())
+            told["registry_leases_lost_total"] = self.enrolled.lease.lost
         sources = [gateway.nodes.counts, self.front.counts, self.follower.counts]
         if self.door is not None:
             told["webdav_connections"] = len(self.door.channels)
@@ -268,6 +325,8 @@
         if self.door_listening is not None:
             self.door_listening.stopListening()
         self.follower.stop()
+        if self.enrolled is not None:
+            self.enrolled.leave()
         if self.speaker is None or self.speaker.drain.stage is Stage.SERVING:
             self._gone()
         else:
--- /dev/null
+++ b/ochrecourse/membership/enrolled.py
@@ -0,0 +1,134 @@
+"""Carries this gateway's lease to the registry, on a connection of its own."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+
+from ochrecourse.membership import etcd
+from ochrecourse.membership.lease import Lease, Wants
+from ochrecourse.outside import SECOND, Network, Timer, now_ns, stop
+from ochrecourse.wire.talk import Answer, Talk
+
+PATIENCE = 0.8  # s for an answer
+LOOK = 0.5  # s between looks at what the lease wants; well inside a third of the shortest lease
+AGAIN = 1.0  # s, the most before another try, by chance
+JSON = {"Content-Type": "application/json"}
+
+
+class Enrolled(ClientFactory):
+    """This gateway's entry. `value` gives what it holds now."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        network: Network,
+        servers: Sequence[tuple[str, int]],
+        key: bytes,
+        value: Callable[[], bytes],
+        seconds: int,
+        seed: int,
+    ) -> None:
+        self.network = network
+        self.servers = list(servers)
+        self.key = key
+        self.value = value
+        self.lease = Lease(seconds)
+        self.chance = random.Random(seed)
+        self.at = self.chance.randrange(len(self.servers))
+        self.counts: Counter[str] = Counter()
+        self.talk: Talk | None = None
+        self.dialling = False
+        self._look: Timer | None = None
+        self._late: Timer | None = None
+
+    def start(self) -> None:
+        self._look = self.network.callLater(LOOK * self.chance.random(), self._turn)
+
+    def stop(self) -> None:
+        """Ends at once; the entry goes when its lease has run out."""
+        stop(self._look)
+        stop(self._late)
+        self._look = self._late = None
+        talk, self.talk = self.talk, None
+        if talk is not None and not talk.lost:
+            talk.leave()
+
+    def leave(self) -> None:
+        """On purpose: the lease is given back, so that the entry goes now."""
+        talk, lease = self.talk, self.lease.id
+        stop(self._look)
+        self._look = None
+        if talk is not None and not talk.lost and talk.then is None and lease:
+            talk.ask("POST", etcd.REVOKE, JSON, etcd.lease_body(lease), lambda answer: self.stop())
+        else:
+            self.stop()
+
+    def held(self) -> bool:
+        return self.lease.held(now_ns(self.network))
+
+    def _turn(self) -> None:
+        self._look = self.network.callLater(LOOK, self._turn)
+        now = now_ns(self.network)
+        wants = self.lease.wants(now)
+        if wants is Wants.NOTHING or self.dialling or (self.talk is not None and self.talk.then is not None):
+            return
+        if self.talk is None or self.talk.lost or self.talk.closing:
+            self.dialling = True
+            host, port = self.servers[self.at]
+            self.network.connectTCP(host, port, self, timeout=PATIENCE)
+            return
+        lease = self.lease.id
+        path, body = {
+            Wants.GRANT: (etcd.GRANT, etcd.grant_body(self.lease.seconds)),
+            Wants.PUT: (etcd.PUT, etcd.put_body(self.key, self.value(), lease)),
+            Wants.KEEP: (etcd.KEEP_ALIVE, etcd.lease_body(lease)),
+        }[wants]
+        self._late = self.network.callLater(PATIENCE, self._failed, "no answer in time")
+        self.talk.ask("POST", path, JSON, body, lambda answer: self._came(wants, now, answer))
+
+    def _came(self, wants: Wants, asked_at: int, answer: Answer | None) -> None:
+        stop(self._late)
+        self._late = None
+        try:
+            if answer is None or not answer.whole:
+                raise etcd.BadAnswer("it broke off")
+            told = etcd.granted(answer.status, answer.body, wants is Wants.KEEP)
+        except (etcd.BadAnswer, etcd.Compacted) as trouble:
+            if wants is Wants.PUT and answer is not None and answer.status == 400:
+                self.lease.kept(0, asked_at)  # the registry knows no such lease
+            self._failed(str(trouble))
+            return
+        if wants is Wants.GRANT:
+            self.lease.granted(told.ID, asked_at)
+        elif wants is Wants.PUT:
+            self.lease.was_put(asked_at)
+        else:
+            self.lease.kept(told.TTL, asked_at)
+        stop(self._look)
+        self._look = self.network.callLater(0, self._turn)
+
+    def _failed(self, why: str) -> None:
+        """Another server is asked, after a while by chance."""
+        self.counts[f"lease: {why}"] += 1
+        talk, self.talk = self.talk, None
+        self.dialling = False
+        stop(self._late)
+        self._late = None
+        if talk is not None and not talk.lost:
+            talk.leave()
+        self.at = (self.at + 1) % len(self.servers)
+        self.lease.failed(now_ns(self.network), round(AGAIN * self.chance.random() * SECOND))
+
+    def buildProtocol(self, addr: Any) -> Talk:
+        self.dialling = False
+        self.talk = Talk(lambda talk: None, lambda talk: None)
+        return self.talk
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self._failed("no connection")
--- a/ochrecourse/settings/schema.cue
+++ b/ochrecourse/settings/schema.cue
@@ -79,6 +79,8 @@
 registry?: {
 	servers: [...string]                      // HOST:PORT of each
 	prefix:  *"/ochrecourse/nodes/" | string
+	own:     *"/ochrecourse/gateways/" | string // under which this gateway enters itself; empty: it does not
+	lease:   *10s | (duration & >=3s)         // after which that entry goes by itself
 }
 
 products: [...#Product]
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -384,7 +384,7 @@
 
 
 @pytest.mark.parametrize("wrong", [
-    {"nodes_ready": 8, "nodes_reached": 3}, {"list_age": 99 * SECOND}, {"list_fresh": False}, {"jobs": 50, "written_off": 0.8},
+    {"nodes_ready": 8, "nodes_reached": 3}, {"list_age": 99 * SECOND}, {"list_fresh": False}, {"enrolled": False}, {"jobs": 50, "written_off": 0.8},
 ])  # fmt: skip
 def test_what_is_wrong_with_nodes_makes_it_the_last_choice_once_it_lasts(wrong):
     fitness = fit()
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -3,13 +3,19 @@
 import json
 from itertools import pairwise
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ochrecourse.cli import control
 from ochrecourse.interface import Health
+from ochrecourse.lab.days import quiet
+from ochrecourse.lab.play import VirtualPlay
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership import etcd
+from ochrecourse.membership.enrolled import Enrolled
+from ochrecourse.membership.lease import Lease, Wants
 from ochrecourse.membership.registrar import Registrar, age_clock
 from ochrecourse.membership.registry import Change, RangeAsked, Record
 from ochrecourse.membership.roster import Roster
@@ -253,3 +259,138 @@
     both = {b"x": record(1, 9, health="draining"), b"y": record(1, 4)}
     lines = roster.lines(both, SECOND, 0)
     assert [line.health for line in lines] == ["draining"] and roster.notes
+
+
+# --- this gateway's own entry ---
+
+
+def enrolled(town, number=0, seconds=6):
+    servers = [("127.0.0.1", end.port) for end in town.ends]
+    made = Enrolled(town.network, servers, b"/g/g%d" % number, lambda: b"me", seconds, town.seed * 100 + number)
+    for end in town.ends:
+        end.lease_time = seconds
+    made.start()
+    return made
+
+
+def entries(town):
+    town.store.expire(now_ns(town.network))
+    return {key for key in town.store.at(town.store.revision) if key.startswith(b"/g/")}
+
+
+def test_an_entry_stands_while_its_gateway_does_and_goes_after_its_lease_with_it():
+    town = Town(gateways=0)
+    mine = enrolled(town)
+    for _ in range(40):
+        town.run(1)
+        assert entries(town) == {b"/g/g0"}
+    assert mine.held() and not mine.lease.lost
+    mine.stop()
+    town.run(7)
+    assert not entries(town)
+
+
+def test_leaving_on_purpose_takes_the_entry_along_at_once():
+    town = Town(gateways=0)
+    mine = enrolled(town)
+    town.run(3)
+    mine.leave()
+    town.run(0.1)
+    assert not entries(town)
+
+
+def test_a_lease_that_the_registry_forgot_is_noticed_and_taken_anew():
+    town = Town(gateways=0)
+    mine = enrolled(town)
+    town.run(3)
+    town.store.revoke(next(iter(town.store.leases)))
+    assert not entries(town)
+    town.run(4)
+    assert entries(town) == {b"/g/g0"} and mine.lease.lost == 1 and mine.held()
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_registry_that_is_away_costs_the_lease_and_it_comes_back(seed):
+    town = Town(gateways=0, seed=seed)
+    mine = enrolled(town)
+    town.run(3 + seed / 7)
+    for end in town.ends:
+        end.stop()
+    town.run(5)
+    assert mine.held() or mine.lease.until <= now_ns(town.network)
+    town.run(5)
+    assert not mine.held()
+    for end in town.ends:
+        end.start()
+    town.run(4)
+    assert mine.held() and entries(town) == {b"/g/g0"}
+
+
+def test_a_silent_server_is_left_for_another_before_the_lease_runs_out():
+    town = Town(gateways=0)
+    mine = enrolled(town)
+    town.run(3)
+    town.ends[mine.at].silent = True
+    for _ in range(20):
+        town.run(1)
+        assert mine.held()
+
+
+def test_a_lease_counts_from_when_it_was_asked_for():
+    lease = Lease(9)
+    assert lease.wants(0) is Wants.GRANT and not lease.held(0)
+    lease.granted(5, 1 * SECOND)
+    assert lease.wants(2 * SECOND) is Wants.PUT and not lease.held(2 * SECOND)
+    lease.was_put(2 * SECOND)
+    assert lease.held(2 * SECOND) and lease.wants(4 * SECOND) is Wants.NOTHING and lease.wants(5 * SECOND) is Wants.KEEP
+    lease.kept(9, 5 * SECOND)
+    assert lease.held(14 * SECOND - 1) and not lease.held(14 * SECOND)
+    assert lease.wants(14 * SECOND) is Wants.GRANT and lease.lost == 1
+
+
+# --- a daemon with a registry ---
+
+
+@pytest.fixture
+def served():
+    day = msgspec.structs.replace(quiet(), gateways=1, nodes=3)
+    play = VirtualPlay(day, registry=True)
+    play.seats[0].start()
+    play.network.advance(3)
+    return play, play.seats[0].daemon
+
+
+def asks(daemon, do):
+    return control.answer(daemon, json.dumps({"do": do}).encode())
+
+
+def test_operators_see_the_list_and_where_it_comes_from(served):
+    _, daemon = served
+    told = asks(daemon, "members")
+    lines = control.member_lines(told)
+    assert told["from"] == "registry" and told["connected"] and len(told["nodes"]) == 3 and told["lease"] is True
+    assert any("from a registry, connected" in line for line in lines) and sum(line.startswith("node ") for line in lines) == 3
+    assert daemon.figures()["registry_lease_held"] == 1.0
+
+
+def test_operators_accept_a_registry_that_was_restored(served):
+    play, daemon = served
+    assert asks(daemon, "accept") == {"done": False, "stage": "the registry is read anew"}
+    play.mirror.store.cluster = 5
+    for end in play.mirror.ends:
+        end.cut()
+    play.network.advance(15)
+    told = asks(daemon, "members")
+    assert "cluster" in told["not_believed"] and len(told["nodes"]) == 3 and any("not believed" in line for line in control.member_lines(told))
+    assert asks(daemon, "accept")["done"]
+    play.network.advance(3)
+    assert asks(daemon, "members")["connected"] and not asks(daemon, "members")["not_believed"]
+
+
+def test_a_lost_lease_makes_the_address_the_last_choice_and_stops_nothing(served):
+    play, daemon = served
+    assert daemon.sight().enrolled
+    for end in play.mirror.ends:
+        end.stop()
+    play.network.advance(15)
+    assert not daemon.sight().enrolled and daemon.ready() == (True, "ready")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -181,3 +181,13 @@
     with pytest.raises(Refused) as refused:
         resolve(SPEAKER.replace(old, new, 1), "g.cue")
     assert told in str(refused.value)
+
+
+@pytest.mark.parametrize(("more", "told"), [
+    ("registry: {servers: []}\n", "registry.servers names none"), ('registry: servers: ["x"]\n', "registry.servers[0] is 'x'; an address is HOST:PORT"),
+    ('registry: servers: ["127.0.0.1:1"]\n', "list.address and registry both tell of nodes"),
+])  # fmt: skip
+def test_a_registry_that_can_not_be_is_told(more, told):
+    with pytest.raises(Refused) as trouble:
+        resolve(GOOD + more, "g.cue")
+    assert told in str(trouble.value)
