Kept list: another gateway's is not taken; cut, changed and failing at every step tested

A restart may find any file: another gateway's, another version's, half a one. Each is one clear line and no list is taken.

Measured: every byte cut and changed, 12 failures of open, write, sync and rename leave the old list.

--- a/benchmarks/notices.py
+++ b/benchmarks/notices.py
@@ -73,7 +73,7 @@
             heard.append(network.seconds())
 
     servers = [("127.0.0.1", end.port) for end in ends]
-    gateway = Registrar(network, servers, PREFIX, told, None, seed, age_clock(network, 0))
+    gateway = Registrar("g0", network, servers, PREFIX, told, None, seed, age_clock(network, 0))
     gateway.start()
     network.advance(3 + chance.random())
     noticed = network.seconds() + 0.5
--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -49,7 +49,7 @@
             if len(gateways[i].view.lines) == NODES - 10:
                 right.setdefault(i, network.seconds())
 
-        gateways.append(make(network, servers, PREFIX, told, None, seed * 1000 + i, age_clock(network, 0)))
+        gateways.append(make(f"g{i}", network, servers, PREFIX, told, None, seed * 1000 + i, age_clock(network, 0)))
     for gateway in gateways:
         gateway.start()
     network.advance(4)
--- a/ochrecourse/durable/sealed.py
+++ b/ochrecourse/durable/sealed.py
@@ -45,8 +45,11 @@
     words = head.decode("ascii", "replace").split(" ")
     if len(words) != 5 or words[0] != "ochrecourse":
         raise Damaged(f"{path}: not a file of ours")
-    if words[1] != name or words[2] != str(version):
-        raise Damaged(f"{path}: holds {words[1]} {words[2]}, not {name} {version}")
+    if words[1] != name:
+        raise Damaged(f"{path}: holds {words[1]}, not {name}")
+    if words[2] != str(version):
+        age = "a newer" if words[2].isdigit() and int(words[2]) > version else "another"
+        raise Damaged(f"{path}: is of {age} version, {words[2]}; this program reads {version}")
     if words[3] != str(len(data)):
         raise Damaged(f"{path}: {len(data)} bytes of {words[3]}")
     if words[4] != f"{zlib.crc32(data):08x}":
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -112,7 +112,8 @@
             servers = [where for each in said["servers"] if (where := address(each)) is not None]
             since_1970 = age_clock(self.network, epoch)
             prefix = said["prefix"].encode()
-            return Registrar(self.network, servers, prefix, self._news, kept, seed, since_1970, warn)
+            name = record["gateway"]["name"]
+            return Registrar(name, self.network, servers, prefix, self._news, kept, seed, since_1970, warn)
         where = address(record["list"]["address"])
         assert where is not None  # checked when the settings were read
         return Follower(record["gateway"]["name"], self.network, where, self._news, kept, seed, warn)
--- a/ochrecourse/membership/follower.py
+++ b/ochrecourse/membership/follower.py
@@ -58,11 +58,13 @@
 
     def __init__(
         self,
+        name: str,
         network: Network,
         told: Callable[[News], None],
         path: Path | None,
         warn: Callable[[str], None],
     ) -> None:
+        self.name = name
         self.network = network
         self.told = told
         self.path = path
@@ -76,6 +78,8 @@
             return
         try:
             copy = kept.load(self.path)
+            if copy is not None and copy.gateway not in ("", self.name):
+                raise Damaged(f"{self.path}: it is of gateway {copy.gateway!r}, not of {self.name!r}")
             if copy is not None:
                 self.told(self.view.read_back(copy, now_ns(self.network)))
         except (Damaged, OSError, BadList) as trouble:
@@ -92,7 +96,9 @@
         self.told(news)
         if self.path is not None:
             try:
-                kept.save(self.path, self.view.copy(now))
+                copy = self.view.copy(now)
+                copy.gateway = self.name
+                kept.save(self.path, copy)
             except OSError as trouble:
                 self.counts["lists not kept"] += 1
                 self.warn(f"the list of nodes could not be kept: {trouble}")
@@ -114,8 +120,7 @@
         seed: int,
         warn: Callable[[str], None] = lambda text: None,
     ) -> None:
-        super().__init__(network, told, path, warn)
-        self.name = name
+        super().__init__(name, network, told, path, warn)
         self.address = address
         self.chance = random.Random(seed)
         self.line: _Line | None = None
--- a/ochrecourse/membership/registrar.py
+++ b/ochrecourse/membership/registrar.py
@@ -59,6 +59,7 @@
 
     def __init__(
         self,
+        name: str,
         network: Network,
         servers: Sequence[tuple[str, int]],
         prefix: bytes,
@@ -68,7 +69,7 @@
         since_1970: Callable[[], int],
         warn: Callable[[str], None] = lambda text: None,
     ) -> None:
-        super().__init__(network, told, path, warn)
+        super().__init__(name, network, told, path, warn)
         self.servers = list(servers)
         self.since_1970 = since_1970
         self.chance = random.Random(seed)
--- a/ochrecourse/membership/view.py
+++ b/ochrecourse/membership/view.py
@@ -37,11 +37,12 @@
 
 @dataclass(slots=True)
 class Copy:
-    """What is kept on disk: the list, its version, and the clock's time when it was written."""
+    """What is kept on disk: the list, its version, the clock's time when it was written, and whose it is."""
 
     epoch: int
     written: int
     lines: list[Listed]
+    gateway: str = ""
 
 
 class View:
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -47,7 +47,7 @@
         heard = self.lists[number] = []
         servers = [("127.0.0.1", end.port) for end in self.ends]
         clock = age_clock(self.network, 1_790_000_000)
-        made = Registrar(self.network, servers, PREFIX, lambda news: heard.append((now_ns(self.network), news)), path, self.seed * 1000 + number, clock, self.warnings.append)
+        made = Registrar("g0", self.network, servers, PREFIX, lambda news: heard.append((now_ns(self.network), news)), path, self.seed * 1000 + number, clock, self.warnings.append)
         made.start()
         return made
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,5 +1,9 @@
 """State without I/O: proofs, pool, books, lateness, leaving, sampling, the list of nodes."""
 
+import errno
+import io
+import os
+
 import pytest
 
 from ochrecourse.durable import sealed
@@ -283,15 +287,68 @@
             kept.load(path)
 
 
-def test_a_crash_while_a_list_is_written_leaves_the_old_one(tmp_path, monkeypatch):
+def test_a_kept_list_that_is_cut_or_changed_anywhere_is_never_taken(tmp_path):
+    path = tmp_path / "g0.nodes"
+    kept.save(path, Copy(4, 7, [listed(70)]))
+    whole = path.read_bytes()
+    for at in range(len(whole)):
+        for broken in (whole[:at], whole[:at] + bytes((whole[at] ^ 1 << at % 8,)) + whole[at + 1 :]):
+            path.write_bytes(broken)
+            with pytest.raises(sealed.Damaged):
+                kept.load(path)
+
+
+@pytest.mark.parametrize(("head", "told"), [
+    (b"ochrecourse nodes 9 0 00000000\n", "a newer version, 9"), (b"ochrecourse nodes 0 0 00000000\n", "another version, 0"),
+    (b"ochrecourse webdav-tree 1 0 00000000\n", "holds webdav-tree"), (b"words\n", "not a file of ours"),
+])  # fmt: skip
+def test_a_kept_file_of_another_kind_or_version_is_told_in_one_line(tmp_path, head, told):
+    path = tmp_path / "g0.nodes"
+    path.write_bytes(head)
+    with pytest.raises(sealed.Damaged, match=told):
+        kept.load(path)
+
+
+def test_another_gateways_kept_list_is_not_taken(tmp_path):
+    path, network, warnings, news = tmp_path / "g0.nodes", VirtualNetwork(3), [], []
+    kept.save(path, Copy(4, 7, [listed(70)], "g9"))
+    Follower("g0", network, ("127.0.0.1", 1), news.append, path, 1, warnings.append).start()
+    assert not news and "of gateway 'g9', not of 'g0'" in warnings[0]
+
+
+@pytest.mark.parametrize("step", ["open", "write", "fsync", "replace"])
+@pytest.mark.parametrize("trouble", [errno.ENOSPC, errno.EROFS, errno.EIO])
+def test_a_list_that_can_not_be_written_leaves_the_old_one(tmp_path, monkeypatch, step, trouble):
     path = tmp_path / "g0.nodes"
     kept.save(path, Copy(1, 7, [listed(70)]))
-    for step in ("fsync", "replace"):
-        with monkeypatch.context() as broken:
-            broken.setattr(f"os.{step}", lambda *words: (_ for _ in ()).throw(OSError("power")))
-            with pytest.raises(OSError):
-                kept.save(path, Copy(2, 8, [listed(71)]))
-        assert kept.load(path).epoch == 1
+
+    def fail(*words, **more):
+        raise OSError(trouble, os.strerror(trouble))
+
+    class Full:
+        """A file that takes half of what is written."""
+
+        def __init__(self, name, mode):
+            self.file = io.FileIO(name, mode)
+
+        def __enter__(self):
+            return self
+
+        def __exit__(self, *words):
+            self.file.close()
+
+        def write(self, data):
+            self.file.write(data[: len(data) // 2])
+            fail()
+
+    with monkeypatch.context() as broken:
+        if step in ("open", "write"):
+            broken.setattr("builtins.open", fail if step == "open" else Full)
+        else:
+            broken.setattr(f"os.{step}", fail)
+        with pytest.raises(OSError):
+            kept.save(path, Copy(2, 8, [listed(71)]))
+    assert kept.load(path).epoch == 1
 
 
 @pytest.fixture
