--- a/benchmarks/notices.py
+++ b/benchmarks/notices.py
@@ -78,7 +78,7 @@
     network.advance(3 + chance.random())
     noticed = network.seconds() + 0.5
     network.callLater(0.5, store.put, PREFIX + b"2", value(2, "draining"))
-    network.callLater(chance.random(), lambda: BREAKS[name](ends, gateway.at))
+    network.callLater(chance.random(), lambda: BREAKS[name](ends, gateway.choice.at))
     network.advance(0.6)
     while not heard and network.seconds() < noticed + LATEST:
         network.advance(0.5)
--- a/benchmarks/storms.py
+++ b/benchmarks/storms.py
@@ -23,11 +23,9 @@
 class Naive(Registrar):
     """Comes back at once, always to the first server, and reads the whole range anew."""
 
-    def _another(self) -> int:
-        return 0
-
     def _broke(self, why: str) -> None:
         self._drop()
+        self.choice.at = 0
         if not self.stopped and self._timer is None:
             self.feed.compacted()
             self._timer = self.network.callLater(0.01, self._connect)
--- a/ochrecourse/durable/journal.py
+++ b/ochrecourse/durable/journal.py
@@ -1,23 +1,20 @@
 """An append-only file of records, for state that must outlive its process.
 
-Format: a line `ochrecourse NAME VERSION` in ASCII, then for each record 4 bytes length, 4 bytes CRC-32 (both
-big endian) and the record. Once `append` has returned, a record outlives the process; `restart` also syncs
-file and folder. Not promised: that the newest records survive a power cut. A record that is cut short or
-damaged ends what is read; the file as it was is then put aside, never overwritten.
+Format: a line `ochrecourse NAME VERSION` in ASCII, then the records as `frames` has them. Once `append` has
+returned, a record outlives the process; `restart` also syncs file and folder. Not promised: that the newest
+records survive a power cut. A record that is cut short or damaged ends what is read; the file as it was is
+then put aside, never overwritten.
 """
 
 from __future__ import annotations
 
 import contextlib
 import os
-import struct
-import zlib
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Protocol
 
-FRAME = struct.Struct(">II")
-LONGEST = 1 << 26  # bytes of one record; a length above it is damage, not a record
+from ochrecourse.durable.frames import Row, framed
 
 
 class Journal(Protocol):
@@ -71,17 +68,10 @@
                 if head != self.head:
                     said = head.decode("ascii", "replace").strip()
                     raise BadJournal(f"{self.path}: begins with {said!r}, not {self.head.decode().strip()!r}")
-                at, count, whole = file.tell(), 0, os.fstat(file.fileno()).st_size
-                while at < whole:
-                    frame = file.read(FRAME.size)
-                    length, crc = FRAME.unpack(frame) if len(frame) == FRAME.size else (LONGEST + 1, 0)
-                    record = file.read(length) if length <= LONGEST else b""
-                    if len(record) != length or zlib.crc32(record) != crc:
-                        self._damaged(at, count, whole)
-                        return
-                    at += FRAME.size + length
-                    count += 1
-                    yield record
+                row = Row(file.read)
+                yield from row.records()
+                if not row.sound:
+                    self._damaged(len(head) + row.at, row.count, os.fstat(file.fileno()).st_size)
         except FileNotFoundError:
             return
 
@@ -97,7 +87,7 @@
     def append(self, record: bytes) -> None:
         if self.broken:
             raise OSError("the journal could not be mended after a write that failed")
-        data = FRAME.pack(len(record), zlib.crc32(record)) + record
+        data = framed(record)
         try:
             written = os.write(self.file, data)
             if written != len(data):
@@ -115,7 +105,7 @@
         with open(aside, "wb") as file:
             file.write(self.head)
             for record in records:
-                file.write(FRAME.pack(len(record), zlib.crc32(record)) + record)
+                file.write(framed(record))
             file.flush()
             os.fsync(file.fileno())
         os.replace(aside, self.path)
--- a/ochrecourse/membership/registrar.py
+++ b/ochrecourse/membership/registrar.py
@@ -16,6 +16,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from ochrecourse.membership import etcd
+from ochrecourse.membership.choice import LAG, LOOK, PATIENCE, Choice, Lag
 from ochrecourse.membership.follower import Holder
 from ochrecourse.membership.registry import Change, Feed, RangeAsked, Untrusted
 from ochrecourse.membership.roster import Roster
@@ -24,11 +25,6 @@
 from ochrecourse.wire.talk import Answer, Talk
 
 PAGE = 100  # keys of a page; some tens of KiB
-PATIENCE = 0.8  # s for an answer; more than a busy registry takes, less than half of a drain's grace
-LOOK = 1.0  # s between looks at the newest change; with PATIENCE well inside a drain's grace of 2 s
-LAG = 0.3  # s that a watch may be behind what a look saw
-FIRST_WAIT = 0.5  # s, the most before the first try to come back, by chance: many must not come at once
-LONGEST_WAIT = 2.0  # s
 JSON = {"Content-Type": "application/json"}
 
 
@@ -73,17 +69,16 @@
         self.servers = list(servers)
         self.since_1970 = since_1970
         self.chance = random.Random(seed)
+        self.choice = Choice(len(self.servers), self.chance.random)
+        self.lag = Lag()
         self.feed = Feed(prefix)
         self.roster = Roster()
-        self.at = self.chance.randrange(len(self.servers))
         self.line: Talk | None = None
         self.calls: _Line | None = None
         self.watch: _Line | None = None
         self.other: _Line | None = None  # to another server, for looks
         self.stream = etcd.Stream()
-        self.wait = FIRST_WAIT
         self.stopped = False
-        self.told_restored = False
         self._timer: Timer | None = None
         self._late: Timer | None = None
         self._look: Timer | None = None
@@ -102,14 +97,14 @@
     def accept(self) -> None:
         """An operator says that the registry is right though it went back or is another one."""
         self.feed.accept()
-        self.told_restored = False
+        self.choice.stands()
         self._broke("an operator accepted the registry as it is")
 
     # --- connections ---
 
     def _connect(self) -> None:
         self._timer = None
-        self.calls = self._dial(self.at, self._ask)
+        self.calls = self._dial(self.choice.at, self._ask)
 
     def _dial(self, at: int, up: Callable[[Talk], None]) -> _Line:
         line = _Line(up, lambda: self._lost(line))
@@ -123,11 +118,6 @@
         elif line is self.other:
             self._other_failed()
 
-    def _another(self) -> int:
-        """A server other than the one at hand, by chance."""
-        more = len(self.servers) - 1
-        return (self.at + 1 + self.chance.randrange(more)) % len(self.servers) if more else self.at
-
     def _other_failed(self) -> None:
         """The server that looks went to is gone or not believed; the next look goes to another, by chance."""
         self.counts["looks that failed"] += 1
@@ -147,9 +137,7 @@
             return
         self.counts[f"breaks: {why}"] += 1
         self.feed.broke()
-        self.at = self._another()
-        self._timer = self.network.callLater(self.wait * self.chance.random(), self._connect)
-        self.wait = min(LONGEST_WAIT, self.wait * 2)
+        self._timer = self.network.callLater(self.choice.broke(), self._connect)
 
     def _drop(self) -> None:
         lines = (self.calls, self.watch, self.other)
@@ -163,8 +151,7 @@
 
     def _untrusted(self, why: str) -> None:
         """What this server says is not believed. If no other is, an operator must say which is right."""
-        if self.feed.counts["untrusted"] >= 2 * len(self.servers) and not self.told_restored:
-            self.told_restored = True
+        if self.choice.refused():
             self.warn(f"the registry is not believed: {why}; if it was restored, accept it")
         self._broke("not believed")
 
@@ -208,7 +195,7 @@
         if isinstance(asked, RangeAsked):
             self._call(etcd.RANGE, etcd.range_body(self.feed.prefix, asked, PAGE), self._page_came)
         elif self.watch is None:
-            self.watch = self._dial(self.at, self._watch_up)
+            self.watch = self._dial(self.choice.at, self._watch_up)
             self._look = self.network.callLater(LOOK * self.chance.random(), self._look_at_newest)
 
     def _page_came(self, answer: Answer) -> None:
@@ -222,7 +209,7 @@
         self._look = None
         self._look_late = self.network.callLater(PATIENCE, self._other_failed)
         if self.other is None:
-            self.other = self._dial(self._another(), self._look_up)
+            self.other = self._dial(self.choice.another(), self._look_up)
         elif self.other.talk is not None and self.other.talk.then is None:
             self._look_up(self.other.talk)
 
@@ -240,16 +227,15 @@
         except (etcd.BadAnswer, etcd.Compacted, Untrusted):
             self._other_failed()
             return
-        newest = records[0].changed if records else 0
-        if newest > self.feed.known:
-            self._look = self.network.callLater(LAG, self._still_behind, newest)
-        else:
+        wait = self.lag.saw(records[0].changed if records else 0, self.feed.known)
+        if not self.lag.newest:
             self.view.heard = now_ns(self.network)
-            self._look = self.network.callLater(LOOK, self._look_at_newest)
+        then = self._still_behind if self.lag.newest else self._look_at_newest
+        self._look = self.network.callLater(wait, then)
 
-    def _still_behind(self, newest: int) -> None:
+    def _still_behind(self) -> None:
         self._look = None
-        if newest > self.feed.known:
+        if self.lag.behind(self.feed.known):
             self._broke("the watch stands still")
         else:
             self._look = self.network.callLater(LOOK, self._look_at_newest)
@@ -276,7 +262,8 @@
                     raise etcd.Compacted
                 if message.created:
                     self.feed.watch_began(message.header.cluster_id, message.header.revision)
-                    self.line, self.wait = talk, FIRST_WAIT
+                    self.line = talk
+                    self.choice.stands()
                 if message.events:
                     told = self.feed.changes_came(message.header.cluster_id, etcd.changes_of(message))
                     self._tell(told, first=False)
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -1,6 +1,7 @@
 """The registry client against a stand-in registry: breaks anywhere, servers that lie, compaction, restarts."""
 
 import json
+import random
 from itertools import pairwise
 
 import msgspec
@@ -14,6 +15,7 @@
 from ochrecourse.lab.play import VirtualPlay
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership import etcd
+from ochrecourse.membership.choice import LAG, LOOK, Choice, Lag
 from ochrecourse.membership.enrolled import Enrolled
 from ochrecourse.membership.lease import Lease, Wants
 from ochrecourse.membership.registrar import Registrar, age_clock
@@ -80,10 +82,10 @@
 BREAKS = {
     "nothing": lambda town: None,
     "all connections cut": lambda town: [end.cut() for end in town.ends],
-    "a server ends": lambda town: town.ends[town.gateways[0].at].stop(),
-    "a server is silent": lambda town: setattr(town.ends[town.gateways[0].at], "silent", True),
-    "streams are held back": lambda town: setattr(town.ends[town.gateways[0].at], "held_back", True),
-    "a server lies behind": lambda town: town.ends[town.gateways[0].at].freeze(),
+    "a server ends": lambda town: town.ends[town.gateways[0].choice.at].stop(),
+    "a server is silent": lambda town: setattr(town.ends[town.gateways[0].choice.at], "silent", True),
+    "streams are held back": lambda town: setattr(town.ends[town.gateways[0].choice.at], "held_back", True),
+    "a server lies behind": lambda town: town.ends[town.gateways[0].choice.at].freeze(),
     "compaction in a break": lambda town: ([end.cut() for end in town.ends], town.store.put(b"/other", b"x"), town.store.compact()),
 }
 
@@ -117,7 +119,7 @@
     for i in range(20):
         town.put(1, "ready" if i % 2 else "draining")
         if i % 3 == 0:
-            town.ends[town.gateways[0].at].cut()
+            town.ends[town.gateways[0].choice.at].cut()
         town.run(0.9)
     assert town.seen() == town.right()
     lists = [tuple((e.node, e.health) for e in news.entries) for _, news in town.lists[0]]
@@ -175,8 +177,8 @@
 def test_answers_that_are_not_understood_are_told_and_another_server_is_asked(monkeypatch):
     town = Town(servers=2)
     whole = Endpoint.header
-    monkeypatch.setattr(Endpoint, "header", lambda self: {"revision": "x"} if self.member == town.gateways[0].at else whole(self))
-    bad = town.gateways[0].at
+    monkeypatch.setattr(Endpoint, "header", lambda self: {"revision": "x"} if self.member == town.gateways[0].choice.at else whole(self))
+    bad = town.gateways[0].choice.at
     monkeypatch.setattr(Endpoint, "header", lambda self: {"revision": "x"} if self.member == bad else whole(self))
     town.run(4)
     assert town.seen() == town.right() and any("not understood" in text for text in town.warnings)
@@ -394,3 +396,35 @@
         end.stop()
     play.network.advance(15)
     assert not daemon.sight().enrolled and daemon.ready() == (True, "ready")
+
+
+def test_waits_double_are_drawn_and_start_anew_once_a_watch_stands():
+    choice = Choice(3, iter([0.5] * 99).__next__)
+    assert [choice.broke() for _ in range(5)] == [0.25, 0.5, 1.0, 1.0, 1.0]
+    choice.stands()
+    assert choice.broke() == 0.25
+
+
+def test_another_server_is_never_the_one_at_hand_and_each_is_taken_at_times():
+    chance = random.Random(1)
+    choice, seen = Choice(4, chance.random), set()
+    for _ in range(200):
+        at, other = choice.at, choice.another()
+        assert other != at and 0 <= other < 4
+        choice.broke()
+        seen.add(choice.at)
+    assert seen == {0, 1, 2, 3} and Choice(1, chance.random).another() == 0
+
+
+def test_an_operator_is_told_once_when_no_server_is_believed_and_again_after_one_was():
+    choice = Choice(3, random.Random(1).random)
+    assert [choice.refused() for _ in range(9)] == [False] * 5 + [True] + [False] * 3
+    choice.stands()
+    assert [choice.refused() for _ in range(6)] == [False] * 5 + [True]
+
+
+def test_a_watch_is_behind_only_if_what_was_seen_does_not_come_in_time():
+    lag = Lag()
+    assert lag.saw(5, 5) == LOOK and not lag.behind(5)
+    assert lag.saw(7, 5) == LAG and not lag.behind(7)
+    assert lag.saw(7, 5) == LAG and lag.behind(6)
