A registry that was restored while a gateway was away is noticed at its start

The kept list now says up to which revision of which cluster the last life knew the registry; a start begins from there, so an older registry is asked about and not taken for the first one seen.

--- a/ochrecourse/membership/follower.py
+++ b/ochrecourse/membership/follower.py
@@ -14,7 +14,7 @@
 
 from ochrecourse.durable.sealed import Damaged
 from ochrecourse.membership import kept
-from ochrecourse.membership.view import BadList, News, View
+from ochrecourse.membership.view import BadList, Copy, News, View
 from ochrecourse.outside import Network, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
 from ochrecourse.wire.framed import Framed
@@ -71,20 +71,23 @@
         self.warn = warn
         self.view = View()
         self.counts: Counter[str] = Counter()
+        self.cluster = 0  # of the registry that tells the list
 
-    def hand_on_kept(self) -> None:
+    def hand_on_kept(self) -> Copy | None:
         """The kept list, if a good one is there."""
         if self.path is None:
-            return
+            return None
         try:
             copy = kept.load(self.path)
             if copy is not None and copy.gateway not in ("", self.name):
                 raise Damaged(f"{self.path}: it is of gateway {copy.gateway!r}, not of {self.name!r}")
             if copy is not None:
                 self.told(self.view.read_back(copy, now_ns(self.network)))
+            return copy
         except (Damaged, OSError, BadList) as trouble:
             self.counts["kept lists not read"] += 1
             self.warn(f"the kept list of nodes is ignored: {trouble}")
+            return None
 
     def take(self, kind: str, epoch: int, lines: list[m.Listed]) -> bool:
         """A list or a change of it; True if it told something new. Raises BadList."""
@@ -97,7 +100,7 @@
         if self.path is not None:
             try:
                 copy = self.view.copy(now)
-                copy.gateway = self.name
+                copy.gateway, copy.cluster = self.name, self.cluster
                 kept.save(self.path, copy)
             except OSError as trouble:
                 self.counts["lists not kept"] += 1
--- a/ochrecourse/membership/registrar.py
+++ b/ochrecourse/membership/registrar.py
@@ -86,7 +86,9 @@
 
     def start(self) -> None:
         """Hands on the kept list, if a good one is there, then connects."""
-        self.hand_on_kept()
+        copy = self.hand_on_kept()
+        if copy is not None and copy.cluster:
+            self.feed.remember(copy.cluster, copy.epoch)
         self._connect()
 
     def stop(self) -> None:
@@ -285,6 +287,7 @@
         """The whole list goes on after each change: it is small, and a list that is whole has no gaps."""
         if not changes and not first:
             return
+        self.cluster = self.feed.cluster
         lines = self.roster.lines(self.feed.records, now_ns(self.network), self.since_1970())
         try:
             self.take("full", self.feed.known, lines)
--- a/ochrecourse/membership/registry.py
+++ b/ochrecourse/membership/registry.py
@@ -86,6 +86,10 @@
         self.restored = ""  # what a server that is behind or another cluster said last; empty: none did
         self.counts = {"ranges": 0, "compacted": 0, "repeats": 0, "untrusted": 0}
 
+    def remember(self, cluster: int, known: int) -> None:
+        """What the last life knew, so that a registry that went back since is noticed."""
+        self.cluster, self.known = cluster, known
+
     # --- what to ask ---
 
     def asks(self) -> RangeAsked | WatchAsked:
--- a/ochrecourse/membership/view.py
+++ b/ochrecourse/membership/view.py
@@ -43,6 +43,7 @@
     written: int
     lines: list[Listed]
     gateway: str = ""
+    cluster: int = 0  # of the registry that told it; 0: a list server did
 
 
 class View:
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -14,13 +14,14 @@
 from ochrecourse.lab.days import quiet
 from ochrecourse.lab.play import VirtualPlay
 from ochrecourse.lab.virtual import VirtualNetwork
-from ochrecourse.membership import etcd
+from ochrecourse.membership import etcd, kept
 from ochrecourse.membership.choice import LAG, LOOK, Choice, Lag
 from ochrecourse.membership.enrolled import Enrolled
 from ochrecourse.membership.lease import Lease, Wants
 from ochrecourse.membership.registrar import Registrar, age_clock
 from ochrecourse.membership.registry import Change, RangeAsked, Record
 from ochrecourse.membership.roster import Roster
+from ochrecourse.membership.view import Copy
 from ochrecourse.outside import SECOND, now_ns
 from ochrecourse.standins.registry import Endpoint, Store
 
@@ -428,3 +429,31 @@
     assert lag.saw(5, 5) == LOOK and not lag.behind(5)
     assert lag.saw(7, 5) == LAG and not lag.behind(7)
     assert lag.saw(7, 5) == LAG and lag.behind(6)
+
+
+@pytest.mark.parametrize("change", ["older", "another cluster"])
+def test_a_registry_that_went_back_while_the_gateway_was_away_is_noticed(tmp_path, change):
+    town = Town()
+    first = town.gateway(7, tmp_path / "nodes")
+    for node in range(5):
+        town.put(node, "draining")
+    town.run(2)
+    first.stop()
+    if change == "older":
+        town.store.log, town.store.revision = town.store.log[:5], 6
+    else:
+        town.store.cluster = 5
+    again = town.gateway(8, tmp_path / "nodes")
+    town.run(15)
+    assert set(town.seen(8).values()) == {Health.DRAINING} and again.feed.restored and len(town.lists[8]) == 1
+    again.accept()
+    town.run(4)
+    assert town.seen(8) == town.right() and again.line is not None
+
+
+def test_a_kept_list_of_a_list_server_says_nothing_of_a_registry(tmp_path):
+    town = Town()
+    kept.save(tmp_path / "nodes", Copy(99, 7, [], "g0"))
+    late = town.gateway(8, tmp_path / "nodes")
+    town.run(2)
+    assert town.seen(8) == town.right() and not late.feed.restored
