A read that is refused after all says nothing of the body that does not come

A GET that no product takes was answered 403 with the range, tag and length of the file. These headers go now, as for jobs that are denied.

--- a/ochrecourse/webdav/door.py
+++ b/ochrecourse/webdav/door.py
@@ -213,6 +213,7 @@
         try:
             self._ask(asked, found.content.size, found.content.key, found.content.shard, None)
         except Reply:
+            self._forget_body()
             self._give_way(503)
             raise
 
@@ -371,19 +372,16 @@
 
     def _ended(self, status: int, text: str, come_back: int, how: str) -> None:
         self.job, self.staged = None, None
-        for name in (
-            "Content-Length",
-            "Content-Range",
-            "Content-Type",
-            "ETag",
-            "Last-Modified",
-            "Accept-Ranges",
-        ):
-            self.responseHeaders.removeHeader(name)
+        self._forget_body()
         after = {"Retry-After": str(max(1, -(-come_back // SECOND)))} if status == 503 else {}
         self.answer(status, text, after, how)
         self.door.over(self.number, status)
 
+    def _forget_body(self) -> None:
+        """No body comes after all: what was said of it is not said."""
+        for name in OF_THE_BODY:
+            self.responseHeaders.removeHeader(name)
+
     def _client_left(self) -> None:
         door = self.door
         door.waiting.pop(self.number, None)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -699,3 +699,10 @@
     status, headers, body = client.next()
     assert (status, body, headers["content-range"]) == (206, b"234", "bytes 2-4/10")
     assert client.ask("GET", "/f", Range="bytes=2-4", seconds=1)[2] == b"cde"
+
+
+def test_a_read_that_no_product_takes_says_nothing_of_a_body(house, client):
+    client.ask("PUT", "/f", b"0123456789")
+    house.door.products = [rule for rule in house.door.products if rule.method != "GET"]
+    status, headers, body = client.ask("GET", "/f", Range="bytes=0-1", Authorization="me")
+    assert status == 403 and b"no product takes" in body and "etag" not in headers and "content-range" not in headers
