--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -35,7 +35,8 @@
     return f"ochrecourse day run {day.name} --seed {day.seed} --virtual"
 
 
-@pytest.mark.parametrize(("kind", "seed"), [(kind, 1 + i % 2) for i, kind in enumerate(TROUBLES)])
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("kind", TROUBLES)
 def test_every_rule_holds_under_each_trouble(kind, seed):
     day = shortened(kind, seed)
     play, verdict, lost = judge(day)
--- a/tests/test_people.py
+++ b/tests/test_people.py
@@ -24,7 +24,7 @@
     return run, run.run()
 
 
-@pytest.mark.parametrize("kind", ["hang", "answer_lost", "preempt", "balancer_roll"])
+@pytest.mark.parametrize("kind", ["hang", "answer_lost", "preempt", "cut_answers", "balancer_roll", "vanish"])
 def test_a_day_has_the_same_verdict_through_both_framings_and_no_save_is_lost(kind):
     day = short(kind)
     run, done = played(day)
