The gateway serves on sockets: a RESP2 entrance and exit, the platform's start and list

Need: gateway operations want the product itself in service, speaking their protocol; until now only its decisions were measured.

The reactor's set-up moved out of the command line, since relay/ needs it too. A leg for which this side had no connection free ends as not sent (moot) and no more as a node that can't be reached: decide.py took it for a node that is shut.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -13,7 +13,7 @@
 import time
 from typing import Any
 
-from ochrecourse.cli.steady import steady_reactor
+from ochrecourse.steady import steady_reactor
 
 reactor = steady_reactor()
 
--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -22,7 +22,7 @@
 
 from benchmarks.processes import connect, reactor, wait  # first: it installs the reactor
 
-from ochrecourse.cli.steady import raise_files
+from ochrecourse.steady import raise_files
 
 from hdrh.histogram import HdrHistogram
 from twisted.internet.defer import Deferred, inlineCallbacks
--- a/benchmarks/http_relay.py
+++ b/benchmarks/http_relay.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Any
 
-from ochrecourse.cli.steady import raise_files, steady_reactor
+from ochrecourse.steady import raise_files, steady_reactor
 
 reactor = steady_reactor()
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -19,7 +19,7 @@
 
 import psutil
 
-from ochrecourse.cli.steady import raise_files, steady_reactor
+from ochrecourse.steady import raise_files, steady_reactor
 
 reactor = steady_reactor()
 
--- a/ochrecourse/cli/day.py
+++ b/ochrecourse/cli/day.py
@@ -161,7 +161,7 @@
 
 
 def _play_real(this: Day, folder: Path, people: int) -> Any:
-    from ochrecourse.cli.steady import raise_files, steady_reactor
+    from ochrecourse.steady import raise_files, steady_reactor
 
     reactor = steady_reactor()
     from ochrecourse.lab.real import RealPlay
--- a/ochrecourse/cli/load.py
+++ b/ochrecourse/cli/load.py
@@ -88,7 +88,7 @@
     """Runs what `start` makes until it stops the reactor, and prints its outcomes."""
     import msgspec
 
-    from ochrecourse.cli.steady import raise_files, steady_reactor
+    from ochrecourse.steady import raise_files, steady_reactor
     from ochrecourse.settings.load import address
 
     places = [address(each) for each in gateways]
--- a/ochrecourse/cli/nodes.py
+++ b/ochrecourse/cli/nodes.py
@@ -49,7 +49,7 @@
 
 
 def _run(day: Any, records: Path | None, wait: bool) -> None:
-    from ochrecourse.cli.steady import raise_files, steady_reactor
+    from ochrecourse.steady import raise_files, steady_reactor
 
     reactor = steady_reactor()
     from twisted.internet.stdio import StandardIO
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -23,7 +23,7 @@
     is held is answered in time, exit code 0. SIGHUP reads FILE again and takes over what may change.
     """
     record = read_or_exit(file)
-    from ochrecourse.cli.steady import Collector, raise_files, steady_reactor
+    from ochrecourse.steady import Collector, raise_files, steady_reactor
 
     reactor = steady_reactor()
 
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -126,8 +126,10 @@
         travel: int = 0,
         observers: Sequence[Observer] = (),
         decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
+        limits: PoolLimits | None = None,
     ) -> None:
-        """`travel`: ns that an answer takes to its client; `decisions`: what makes the host's decisions."""
+        """`travel`: ns that an answer takes to its client; `decisions`: what makes the host's decisions;
+        `limits`: of connections, if the map's own are not meant."""
         self.name = name
         self.clock = clock
         self.mark = (
@@ -137,7 +139,7 @@
         self.observers = observers
         self.kinds = _Kinds(values)
         self.max_open = int(_number(values, "Limits.MaxOpen", 20_000))
-        limits = PoolLimits(
+        limits = limits or PoolLimits(
             legs=int(_number(values, "Limits.Multiplex", 32)),
             connections=int(_number(values, "Limits.Connections", 4)),
             dials=int(_number(values, "Limits.Dials", 16)),
--- a/ochrecourse/nodes/proof.py
+++ b/ochrecourse/nodes/proof.py
@@ -61,7 +61,7 @@
     Seen.UNLISTED: Proof(Ending.UNREACHABLE, Ran.NO),
     Seen.REFUSED: Proof(Ending.UNREACHABLE, Ran.NO),
     Seen.DIAL_TIMEOUT: Proof(Ending.UNREACHABLE, Ran.NO),
-    Seen.NO_ROOM: Proof(Ending.UNREACHABLE, Ran.NO),
+    Seen.NO_ROOM: Proof(Ending.MOOT, Ran.NO),
     Seen.CLOSED_BEFORE: Proof(Ending.UNREACHABLE, Ran.NO),
     Seen.CLOSED_DURING: Proof(Ending.UNREACHABLE, Ran.NO),
     Seen.CLOSED_AFTER: Proof(Ending.RESET, Ran.MAYBE),
--- /dev/null
+++ b/ochrecourse/relay/discovery.py
@@ -0,0 +1,110 @@
+"""The platform's list of nodes and its changes, as `interface` entries. Free of I/O and clocks.
+
+Nodes have texts as names there and numbers here; a name keeps its number as long as it may come back. Times
+of starts are Unix time there and this host's clock here; the difference of the two clocks is taken once, so a
+start keeps its time through all lists.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from ochrecourse.interface import Health, ListKind, NodeEntry
+from ochrecourse.outside import MS
+
+STATES = {"Ready": Health.READY, "Terminating": Health.DRAINING, "Gone": Health.GONE}
+KEPT_GONE = 256  # names of gone nodes that keep their number, in case they return; older ones are forgotten
+
+
+class BadNews(Exception):
+    """A line of the list that can't be taken; nothing of it is. The text says why."""
+
+
+@dataclass(slots=True)
+class News:
+    """What to tell the gateway."""
+
+    kind: ListKind
+    entries: list[NodeEntry]
+    addresses: dict[int, tuple[str, int]]
+
+
+class Book:
+    """The list as this gateway holds it.
+
+    `zones`: names in the settings' order; `unix_ahead`: ns by which Unix time is ahead of this host's clock.
+    """
+
+    def __init__(self, zones: list[str], unix_ahead: int) -> None:
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.unix_ahead = unix_ahead
+        self.version = 0
+        self.numbers: dict[str, int] = {}
+        self.listed: dict[str, NodeEntry] = {}
+        self.gone: dict[str, None] = {}  # longest first
+        self.count = 0
+
+    def line(self, text: bytes) -> News:
+        """A line of the watch or a whole list, as bytes. Raises BadNews."""
+        try:
+            return self.take(json.loads(text))
+        except (ValueError, RecursionError):
+            raise BadNews("a line of the list is not JSON") from None
+
+    def take(self, told: Any, cached: bool = False) -> News:
+        """A list or its changes; `cached`: as it was held before this start. Raises BadNews."""
+        if not isinstance(told, dict) or not isinstance(told.get("instances"), list):
+            raise BadNews("a line of the list names no nodes")
+        version = told.get("generation")
+        if not isinstance(version, int) or isinstance(version, bool):
+            raise BadNews("a line of the list has no version")
+        whole = cached or told.get("reset") is True
+        read = [self._read(each) for each in told["instances"]]
+        entries, addresses = [], {}
+        if whole:
+            for name in self.listed.keys() - {name for name, _, _ in read}:
+                self._forget(name)
+        for name, entry, address in read:
+            if name not in self.numbers:
+                self.count += 1
+                self.numbers[name] = self.count
+            entry.node = self.numbers[name]
+            if entry.health is Health.GONE:
+                self._forget(name)
+            else:
+                self.gone.pop(name, None)
+                self.listed[name] = entry
+                addresses[entry.node] = address
+            entries.append(entry)
+        self.version = version
+        kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
+        return News(kind, entries, addresses)
+
+    def _forget(self, name: str) -> None:
+        self.listed.pop(name, None)
+        self.gone.pop(name, None)
+        self.gone[name] = None
+        while len(self.gone) > KEPT_GONE:
+            oldest = next(iter(self.gone))
+            del self.gone[oldest], self.numbers[oldest]
+
+    def _read(self, told: Any) -> tuple[str, NodeEntry, tuple[str, int]]:
+        if not isinstance(told, dict) or not isinstance(told.get("instanceId"), str):
+            raise BadNews("a node without a name")
+        name = told["instanceId"]
+        health = STATES.get(str(told.get("lifecycle")))
+        if health is None:
+            raise BadNews(f"node {name[:64]} has an unknown state")
+        host, _, port = str(told.get("hostPort", "")).rpartition(":")
+        good = host and port.isascii() and port.isdigit() and len(port) < 6
+        if not good and health is not Health.GONE:
+            raise BadNews(f"node {name[:64]} has no address")
+        shard, started = told.get("cell", 0), told.get("startedAtMs", 0)
+        if not isinstance(shard, int) or not isinstance(started, int | float) or not 0 <= started < 1e15:
+            raise BadNews(f"node {name[:64]} has a figure out of range")
+        zone = self.zones.setdefault(str(told.get("zone", "")), len(self.zones))
+        begun = max(1, round(started * MS) - self.unix_ahead) if started else 0
+        address = (host.strip("[]"), int(port)) if good else ("", 0)
+        return name, NodeEntry(0, zone, shard, health, begun), address
--- /dev/null
+++ b/ochrecourse/relay/service.py
@@ -0,0 +1,121 @@
+"""The gateway in service on the platform: the library, its RESP2 entrance and exit, the list, and the order
+of start, reload and end.
+
+Start: the known list first, then the watch from its version, then the port. Reload: a file that can't be read
+changes nothing. End: jobs are taken as long as clients may still come, connections are closed as they fall
+idle, and when the last job has its answer all is over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ochrecourse.gateway.gateway import Gateway
+from ochrecourse.nodes.pool import PoolLimits
+from ochrecourse.outside import MS, Network, now_ns
+from ochrecourse.relay.discovery import BadNews, Book, News
+from ochrecourse.relay.start import BadStart, Start, read
+from ochrecourse.relay.watch import Watch
+from ochrecourse.resp.front import RespFrontFactory
+from ochrecourse.resp.line import dialler
+from ochrecourse.resp.words import Kinds
+
+TRAVEL = 40 * MS  # ns kept back of a client's time: its way here is not seen, nor a busy loop foreseen
+GOING = 0.55  # s after SIGTERM in which connections still come and are served
+RESERVE = 40  # descriptors for the process itself: listener, watches, poll, log, and a few in between
+IDLE_PART = 3  # part of the time at which a node closes an idle connection after which this side does
+DIALS = 64  # at once; a dial takes a part of a second at most, and a wait for one would look like a slow node
+
+
+def shares(sockets: int) -> tuple[int, int]:
+    """Descriptors for clients' connections and for nodes' connections, of all that the process may have."""
+    free = max(16, sockets - RESERVE)
+    clients = free // 2
+    return clients, free - clients
+
+
+class Service:
+    """One gateway in service. `path` is the start file; `over` is called when it has ended."""
+
+    def __init__(
+        self,
+        start: Start,
+        path: str,
+        network: Network,
+        unix_ns: int,
+        log: Callable[[str], None],
+        over: Callable[[], None],
+    ) -> None:
+        """`unix_ns`: Unix time now. Raises BadStart."""
+        self.path = path
+        self.network = network
+        self.log = log
+        self.over = over
+        clients, nodes = shares(start.sockets)
+        values = start.values
+        idle = float(values.get("Limits.IdleClose", 15_000))
+        limits = PoolLimits(legs=1, connections=nodes, dials=DIALS, idle=round(idle * MS / IDLE_PART))
+        self.gateway = Gateway(
+            values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits
+        )
+        self.front = RespFrontFactory(self.gateway, network, Kinds(values), clients)
+        self.gateway.observers = [self.front]
+        zones = [each for each in values.get("Zones", "").split(",") if each]
+        self.book = Book(zones, unix_ns - now_ns(network))
+        self.watch = Watch(network, self.book, start.discovery, self._told, self._warn)
+        self.listen_at = start.listen
+        self.port: Any = None
+        self.leaving = False
+        try:
+            self._told(self.book.take(start.known, cached=True))
+        except BadNews as trouble:
+            raise BadStart(f"the known list: {trouble}") from None
+
+    def serve(self) -> tuple[str, int]:
+        """Begins to follow the list and to listen; the address is returned."""
+        self.watch.start()
+        host, port = self.listen_at
+        self.port = self.network.listenTCP(port, self.front, backlog=1024, interface=host)
+        at = self.port.getHost()
+        return at.host, at.port
+
+    def reload(self) -> None:
+        """The start file was replaced: what may change in service is taken over."""
+        try:
+            again = read(self.path)
+        except BadStart as trouble:
+            self.log(f"start file not taken over: {trouble}")
+            return
+        self.watch.move(again.discovery)
+        self.log(f"start file read again; the list is told at {again.discovery[0]}:{again.discovery[1]}")
+
+    def leave(self) -> None:
+        """Goes out of service in order; `over` is called at the end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.log(f"leaving; {self.gateway.ledger.open} jobs open")
+        self.network.callLater(GOING, self._close_door)
+
+    def _close_door(self) -> None:
+        if self.port is not None:
+            self.port.stopListening()
+        self.front.left = self._empty
+        self.front.leave()
+
+    def _empty(self) -> None:
+        self.front.left = None
+        self.network.callLater(0, self._end)
+
+    def _end(self) -> None:
+        self.watch.stop()
+        self.front.stop()
+        self.gateway.stop()
+        self.over()
+
+    def _told(self, news: News) -> None:
+        self.gateway.list_came(news.kind, news.entries, news.addresses)
+
+    def _warn(self, text: str) -> None:
+        self.log(text)
--- /dev/null
+++ b/ochrecourse/relay/start.py
@@ -0,0 +1,111 @@
+"""What the platform tells a gateway at its start: one JSON file, to the plain map that the decisions read.
+
+The file's `settings` are the object of the simulator's first message as nested JSON. `flat` gives them the
+form that they have on the simulator's wire: a path for each value, `.count` for lists of objects, commas
+between plain values, `_` for spaces and commas in texts.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+LARGEST_FILE = 16_777_216  # bytes; thousands of nodes and plans fit
+
+
+class BadStart(Exception):
+    """The file is missing or not what the platform describes; the text says where."""
+
+
+@dataclass(slots=True)
+class Start:
+    """What the file tells. `known` is the list of nodes in discovery's form, as this gateway last had it."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    memory_mb: int
+    values: dict[str, str]
+    known: dict[str, Any]
+
+
+def flat(settings: Mapping[str, Any]) -> dict[str, str]:
+    """Nested settings as the plain map of paths to texts. Raises BadStart."""
+    values: dict[str, str] = {}
+    _flatten("", settings, values)
+    return values
+
+
+def _flatten(path: str, told: Any, values: dict[str, str]) -> None:
+    if isinstance(told, Mapping):
+        for name, each in told.items():
+            _flatten(f"{path}.{name}" if path else str(name), each, values)
+    elif isinstance(told, list) and any(isinstance(each, Mapping | list) for each in told):
+        values[f"{path}.count"] = str(len(told))
+        for i, each in enumerate(told):
+            _flatten(f"{path}.{i}", each, values)
+    elif isinstance(told, list):
+        values[path] = ",".join(_plain(path, each) for each in told)
+    elif told is not None:
+        values[path] = _plain(path, told)
+
+
+def _plain(path: str, told: Any) -> str:
+    if isinstance(told, bool):
+        return "true" if told else "false"
+    if isinstance(told, int | float):
+        return str(told)
+    if isinstance(told, str):
+        return told.replace(" ", "_").replace(",", "_")
+    raise BadStart(f"settings.{path} is of no known form")
+
+
+def place(text: Any, where: str) -> tuple[str, int]:
+    """Host and port. Raises BadStart."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 <= int(port) < 65536:
+        raise BadStart(f"{where} is not HOST:PORT: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read(path: str) -> Start:
+    """Reads the file. Raises BadStart."""
+    try:
+        with Path(path).open("rb") as file:
+            data = file.read(LARGEST_FILE + 1)
+        if len(data) > LARGEST_FILE:
+            raise BadStart(f"{path} is larger than {LARGEST_FILE} bytes")
+        told = json.loads(data)
+    except OSError as trouble:
+        raise BadStart(f"{path} can't be read: {trouble.strerror}") from None
+    except (ValueError, RecursionError) as trouble:
+        raise BadStart(f"{path} is not JSON: {trouble}") from None
+    return parse(told)
+
+
+def parse(told: Any) -> Start:
+    """What a file's JSON tells. Raises BadStart."""
+    if not isinstance(told, dict) or not isinstance(told.get("settings"), dict):
+        raise BadStart("the start file holds no settings")
+    limits = told.get("limits") or {}
+    known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
+    try:
+        return Start(
+            name=str(told["name"]),
+            listen=place(told["listen"], "listen"),
+            discovery=place(told["discovery"], "discovery"),
+            seed=int(str(told["seed"]), 16),
+            sockets=int(limits.get("sockets", 1024)),
+            memory_mb=int(limits.get("memory_mb", 0)),
+            values=flat(told["settings"]),
+            known=known,
+        )
+    except KeyError as trouble:
+        raise BadStart(f"the start file lacks {trouble.args[0]}") from None
+    except (ValueError, TypeError, AttributeError) as trouble:
+        raise BadStart(f"the start file holds a figure that is none: {trouble}") from None
