Long replies of nodes are read; connections to all nodes are bounded; the entrance has its tests

Checked: what the decisions believe each second (no node slow, 2 to 4 lost legs a second at most), then the bytes of each such leg: 775 replies of 150,000 to 400,000 bytes, refused at their announced length. Ruled out: silent connections and late answers (10 legs a second). Guilty: MAX_BULK, the limit of a command's value, in resp/codec.py for replies too. Replies may hold 1 MiB now.

Also: a reader that rests lets go of its last message; connections to all nodes together are bounded by the descriptors' share, and one that rests makes room.

--- a/ochrecourse/nodes/carrier.py
+++ b/ochrecourse/nodes/carrier.py
@@ -151,7 +151,10 @@
             self.clock.callLater(0, self._end, leg, Seen.UNLISTED, None)
             return leg
         place = self.pool.place(node, leg.number, message.product, message.size > m.MAX_BODY)
+        if place.instead is not None and place.instead.number in self.links:
+            self.links[place.instead.number].bye()
         if place.line is None:
+            self.counts["no room"] += 1
             self.clock.callLater(0, self._end, leg, Seen.NO_ROOM, None)
             return leg
         leg.line = place.line
--- a/ochrecourse/nodes/pool.py
+++ b/ochrecourse/nodes/pool.py
@@ -23,6 +23,7 @@
     connections: int  # to one node at once
     dials: int  # of one gateway at once
     idle: int  # ns without a leg after which a connection is closed
+    total: int = 0  # to all nodes at once; 0: no such bound
 
 
 class State(Enum):
@@ -48,11 +49,13 @@
 
 
 class Place(NamedTuple):
-    """The answer to `place`: the connection a leg takes (None: there is no room), and whether it may go now.
+    """The answer to `place`: the connection a leg takes (None: there is no room), whether it may go now, and
+    a connection to another node that is to be closed for it.
     """
 
     line: Line | None
     now: bool
+    instead: Line | None = None
 
 
 class Pool:
@@ -84,6 +87,7 @@
         apart = self.limits.connections > 1
         long = apart and (long or product in self.long)
         best: Line | None = None
+        instead: Line | None = None
         count = 0
         for line in lines.values():
             if line.long is not long:
@@ -100,6 +104,12 @@
             of_long = self.limits.connections // 2 if self.long or long else 0
             if count >= (of_long if long else self.limits.connections - of_long):
                 return Place(None, False)
+            if self.limits.total and self._taken() >= self.limits.total:
+                # Guards against running out of descriptors: a connection that rests makes room.
+                instead = next(iter(self.idle.values()), None)
+                if instead is None:
+                    return Place(None, False)
+                self.leaving(instead)
             self.count += 1
             best = lines[self.count] = Line(self.count, node, long)
             self.queue[best.number] = best
@@ -108,7 +118,7 @@
         if best.state is State.OPEN:
             return Place(best, True)
         best.waiting.append(leg)
-        return Place(best, False)
+        return Place(best, False, instead)
 
     def next_dial(self) -> Line | None:
         """The next connection to open, or None while enough dials are under way. Pull until None."""
@@ -181,6 +191,10 @@
             return line.idle_since + self.limits.idle
         return None
 
+    def _taken(self) -> int:
+        lines = (line for each in self.lines.values() for line in each.values())
+        return sum(line.state is not State.LEAVING for line in lines)
+
     def _rest(self, line: Line, now: int) -> None:
         line.idle_since = now
         self.idle[line.number] = line
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -55,7 +55,8 @@
         clients, nodes = shares(start.sockets)
         values = start.values
         idle = float(values.get("Limits.IdleClose", 15_000))
-        limits = PoolLimits(legs=1, connections=nodes, dials=DIALS, idle=round(idle * MS / IDLE_PART))
+        idle_ns = round(idle * MS / IDLE_PART)
+        limits = PoolLimits(legs=1, connections=nodes, dials=DIALS, idle=idle_ns, total=nodes)
         self.gateway = Gateway(
             values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits
         )
--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import ClassVar
 
-MAX_BULK = 65_536  # bytes of one bulk string; the most a value may hold
+MAX_BULK = 65_536  # bytes of one bulk string of a command; the most a value may hold there
+MAX_VALUE = 1_048_576  # bytes of one bulk string of a reply; nodes were seen to send 400,000
 MAX_WORDS = 8  # in one command; the longest has five
 MAX_ITEMS = 8  # in a reply's array; the longest has three
 MAX_LENGTH_LINE = 16  # bytes of a line that tells a count or a length, far over what MAX_BULK needs
 MAX_LINE = 512  # bytes of a status or error line; figures on use and a load report fit several times
-MAX_TOTAL = MAX_BULK + 2048  # bytes of all bulk strings of one message; one value and short words
+SHORT = 2048  # bytes of all other bulk strings of a message; ids, fields, figures on use
 
 
 class Breach(Exception):
@@ -45,6 +47,8 @@
 class _Reader:
     """Bytes in, lines and bulk strings out."""
 
+    most: ClassVar[int] = MAX_BULK
+
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._at = 0  # of which so many bytes are done with
@@ -58,6 +62,13 @@
             self._at = 0
         self._buffer += data
 
+    def _done(self) -> None:
+        """A message is whole: what is done with is let go, so that a connection that rests holds nothing."""
+        self._total = 0
+        if self._at == len(self._buffer):
+            self._buffer.clear()
+            self._at = 0
+
     def unread(self) -> bool:
         """Whether bytes are left that no whole message held."""
         return len(self._buffer) > self._at
@@ -83,10 +94,10 @@
 
     def _announce(self, line: bytes, least: int) -> int:
         """The length of a bulk string that a line tells, checked before any of it is read."""
-        size = self._number(line, least, MAX_BULK, "bad_length")
+        size = self._number(line, least, self.most, "bad_length")
         self._total += max(0, size)
-        if self._total > MAX_TOTAL:
-            raise Breach("long_message", f"more than {MAX_TOTAL} bytes in one message")
+        if self._total > self.most + SHORT:
+            raise Breach("long_message", f"more than {self.most + SHORT} bytes in one message")
         return size
 
     def _bulk(self) -> bytes | None:
@@ -99,7 +110,8 @@
             return None
         if self._buffer[end : end + 2] != b"\r\n":
             raise Breach("bad_end", "a bulk string that does not end where its length says")
-        data = bytes(self._buffer[self._at : end])
+        with memoryview(self._buffer) as whole:
+            data = bytes(whole[self._at : end])
         self._at, self._size = end + 2, -1
         return data
 
@@ -127,6 +139,7 @@
                 self._left -= 1
                 if not self._left:
                     words, self._words = self._words, []
+                    self._done()
                     return words
                 continue
             line = self._line(MAX_LENGTH_LINE)
@@ -142,7 +155,6 @@
                 if line[:1] != b"*":
                     raise Breach("not_a_command", "a command is an array of bulk strings")
                 self._left = self._number(line, 1, MAX_WORDS, "bad_count")
-                self._total = 0
 
 
 class Replies(_Reader):
@@ -151,6 +163,8 @@
     Arrays don't nest here, and an array holds only bulk strings or nulls.
     """
 
+    most = MAX_VALUE
+
     def __init__(self) -> None:
         super().__init__()
         self._items: list[Reply] | None = None
@@ -196,12 +210,13 @@
                 else:
                     raise Breach("not_a_reply", "a reply begins with one of + - : $ *")
             if self._items is None:
-                self._total = 0
+                self._done()
                 return (value,)
             self._items.append(value)
             self._left -= 1
             if not self._left:
-                items, self._items, self._total = self._items, None, 0
+                items, self._items = self._items, None
+                self._done()
                 return (items,)
 
 
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,100 @@
+"""The gateway on the platform: its start file, its list, reload and end."""
+
+import json
+
+import pytest
+
+from ochrecourse.interface import Health, ListKind
+from ochrecourse.outside import MS, SECOND
+from ochrecourse.relay.discovery import BadNews, Book
+from ochrecourse.relay.start import BadStart, flat, parse, read
+
+
+def line(name="s-1", state="Ready", port=6379, cell=3, started=0):
+    return {
+        "instanceId": name, "hostPort": f"10.1.0.18:{port}", "zone": "a", "machineType": "m2", "cell": cell,
+        "lifecycle": state, "weight": 1.0, "startedAtMs": started,
+    }  # fmt: skip
+
+
+def told(version, *lines, reset=False):
+    return {"generation": version, "reset": reset, "instances": list(lines)}
+
+
+def test_settings_get_the_form_that_they_have_on_the_simulators_wire():
+    nested = {
+        "Classes": [{"Name": "trip write", "Aim": 300.0, "SerialByKey": True}, {"Name": "b", "Effect": "safe"}],
+        "FamilyInfo": {"Writes": [True, False], "TellsElsewhere": False}, "Zones": ["a,b", "c"], "Period": 2,
+    }  # fmt: skip
+    assert flat(nested) == {
+        "Classes.count": "2", "Classes.0.Name": "trip_write", "Classes.0.Aim": "300.0",
+        "Classes.0.SerialByKey": "true", "Classes.1.Name": "b", "Classes.1.Effect": "safe",
+        "FamilyInfo.Writes": "true,false", "FamilyInfo.TellsElsewhere": "false", "Zones": "a_b,c", "Period": "2",
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"settings": None}, "no settings"),
+        ({"listen": "nowhere"}, "listen is not HOST:PORT"),
+        ({"discovery": "h:99999"}, "discovery is not HOST:PORT"),
+        ({"seed": "xyz"}, "a figure that is none"),
+        ({"name": ...}, "lacks name"),
+    ],
+)
+def test_broken_start_file_is_told_in_one_sentence(change, text, tmp_path):
+    good = {"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "ff", "settings": {"Period": 2}, **change}
+    with pytest.raises(BadStart, match=text):
+        parse({name: each for name, each in good.items() if each is not ...})
+    for data, why in ((b"{", "not JSON"), (b"[" * 100_000, "not JSON")):
+        (tmp_path / "start.json").write_bytes(data)
+        with pytest.raises(BadStart, match=why):
+            read(str(tmp_path / "start.json"))
+    with pytest.raises(BadStart, match="can't be read"):
+        read(str(tmp_path / "none.json"))
+
+
+def test_list_keeps_numbers_and_times_of_starts_through_all_its_forms():
+    book = Book(["a"], unix_ahead=1000 * SECOND)
+    known = book.take(told(41, line("s-1"), line("s-2", started=1_500_000), reset=True), cached=True)
+    assert known.kind is ListKind.CACHED and [each.node for each in known.entries] == [1, 2]
+    assert [each.started for each in known.entries] == [0, 500 * SECOND]
+    news = book.line(json.dumps(told(42, line("s-2", "Terminating", port=7000, started=1_500_000))).encode())
+    assert news.kind is ListKind.DELTA and news.entries[0].health is Health.DRAINING
+    assert news.entries[0].started == 500 * SECOND and news.addresses == {2: ("10.1.0.18", 7000)}
+    assert book.take(told(43, {"instanceId": "s-2", "lifecycle": "Gone"})).entries[0].health is Health.GONE
+    whole = book.take(told(50, line("s-3"), line("s-2"), reset=True))
+    assert whole.kind is ListKind.FULL and [each.node for each in whole.entries] == [3, 2]
+    assert book.version == 50 and list(book.listed) == ["s-3", "s-2"]
+
+
+def test_names_of_nodes_that_are_gone_do_not_pile_up():
+    book = Book([], 0)
+    for i in range(2000):
+        book.take(told(2 * i, line(f"s-{i}")))
+        book.take(told(2 * i + 1, line(f"s-{i}", "Gone")))
+    assert len(book.numbers) <= 256 and not book.listed
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\xff{", b"[]", b"[" * 100_000, b'{"generation":1}', json.dumps(told("1", line())).encode(),
+        json.dumps(told(1, line(state="Odd"))).encode(), json.dumps(told(1, {**line(), "hostPort": "h"})).encode(),
+        json.dumps(told(1, {**line(), "cell": "x"})).encode(), json.dumps(told(1, 5)).encode(),
+        json.dumps(told(1, {**line(), "startedAtMs": 1e300})).encode(),
+    ],
+)  # fmt: skip
+def test_line_that_can_not_be_read_changes_nothing(text):
+    book = Book([], 0)
+    book.take(told(7, line()))
+    with pytest.raises(BadNews):
+        book.line(text)
+    assert book.version == 7 and list(book.listed) == ["s-1"]
+
+
+def test_zone_that_the_settings_do_not_name_gets_a_number_of_its_own():
+    book = Book(["x"], -5 * MS)
+    entry = book.take(told(1, line(started=1))).entries[0]
+    assert entry.zone == 1 and entry.started == 6 * MS
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,153 @@
+"""RESP2: the codec at every byte, every field of a command, replies of nodes good and spoilt."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ochrecourse.outside import MS
+from ochrecourse.resp import codec
+from ochrecourse.resp.codec import Breach, Commands, Error, Replies, Status
+from ochrecourse.resp.words import Kinds, answer, asked
+from ochrecourse.wire import messages as m
+
+FIELDS = b"c=read,t=p0,d=480,volume=00000003b4d60021,units=2,shard=5,hosts=3"
+READ = [b"BLK.READ", b"7f3a9c21e0b4d655", b"9b1f03aa5c7e2d41", FIELDS]
+WRITE = [b"BLK.WRITE", *READ[1:3], FIELDS.replace(b"c=read", b"c=mark").replace(b",vol", b",k=5c0f6e1a2b3d4c59,vol"), b"x\r\ny"]
+KINDS = Kinds({"Classes.count": "2", "Classes.0.Name": "read", "Classes.1.Name": "mark", "FamilyInfo.Writes": "false,true"})
+
+
+def pulled(reader, pieces):
+    got = []
+    for piece in pieces:
+        reader.feed(piece)
+        while (one := reader.next()) is not None:
+            got.append(one)
+    return got
+
+
+@given(st.lists(st.lists(st.binary(max_size=40), min_size=1, max_size=codec.MAX_WORDS), max_size=4), st.data())
+def test_commands_are_the_same_however_they_are_split(commands, data):
+    whole = b"".join(codec.command(words) for words in commands)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=12)))
+    pieces = [whole[a:b] for a, b in zip([0, *cuts], [*cuts, len(whole)], strict=True)]
+    reader = Commands()
+    assert pulled(reader, pieces) == commands
+    assert not reader.partial()
+
+
+def test_replies_are_the_same_at_every_split():
+    whole = b"+OK\r\n-ERR failed\r\n:7\r\n$-1\r\n$3\r\na\r\n\r\n*3\r\n$1\r\nv\r\n$-1\r\n$0\r\n\r\n"
+    want = [(Status(b"OK"),), (Error(b"ERR failed"),), (7,), (None,), (b"a\r\n",), ([b"v", None, b""],)]
+    for at in range(len(whole) + 1):
+        assert pulled(Replies(), [whole[:at], whole[at:]]) == want
+    assert pulled(Replies(), [whole[i : i + 1] for i in range(len(whole))]) == want
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"hello", "not_a_command"),
+        (b"x" * 4000, "long_line"),
+        (b"*" + b"1" * 4000, "long_line"),
+        (b"*1\r\n$" + b"1" * 4000, "long_line"),
+        (b"*-1\r\n", "bad_count"),
+        (b"*0\r\n", "bad_count"),
+        (b"*9\r\n", "bad_count"),
+        (b"*x\r\n", "bad_count"),
+        (b"*1\r\n:5\r\n", "not_a_command"),
+        (b"*1\r\n$-1\r\n", "bad_length"),
+        (b"*1\r\n$62914560\r\n", "bad_length"),
+        (b"*1\r\n$99999999999\r\n", "bad_length"),
+        (b"*1\r\n$1_0\r\n", "bad_length"),
+        (b"*1\r\n$4\r\nPINGPONG", "bad_end"),
+        (b"*2\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$65536\r\n", "long_message"),
+    ],
+)
+def test_each_breach_of_a_client_is_named_at_the_announced_length(data, code):
+    with pytest.raises(Breach) as told:
+        pulled(Commands(), [data])
+    assert told.value.code == code
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"\x00\xffnoise", "not_a_reply"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", "not_a_reply"),
+        (b"+" + b"x" * 4000, "long_line"),
+        (b"$3221225472\r\n", "bad_length"),
+        (b"$-2\r\n", "bad_length"),
+        (b"*-1\r\n", "bad_count"),
+        (b"*3\r\n*1\r\n", "not_a_reply"),
+        (b"$2\r\nabc\r\n", "bad_end"),
+    ],
+)
+def test_each_spoilt_reply_is_named(data, code):
+    with pytest.raises(Breach) as told:
+        pulled(Replies(), [data])
+    assert told.value.code == code
+
+
+def test_reader_that_rests_holds_no_bytes():
+    # Guards against connections that rest and keep their last long value.
+    for reader, data in ((Replies(), codec.bulk(b"x" * 300_000)), (Commands(), codec.command([b"x" * 60_000]))):
+        assert len(pulled(reader, [data])) == 1 and not reader._buffer and not reader.partial()
+
+
+def test_command_passes_on_with_the_legs_own_time_and_nothing_else_changed():
+    for words in (READ, WRITE):
+        request = asked(words, KINDS, 5)
+        again = pulled(Commands(), [request.body.command(123 * MS + 999_999)])[0]
+        assert again == [*words[:3], words[3].replace(b"d=480", b"d=123"), *words[4:]]
+        assert (request.key, request.volume, request.timeout) == (0x7F3A9C21E0B4D655, 0x3B4D60021, 480 * MS)
+        assert (request.units, request.shard, request.gateways, request.read_at) == (2.0, 5, 3, 5)
+    assert request.product == "mark" and request.plan == "p0" and request.body.size == 4
+
+
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        ([b"GET", *READ[1:]], "unknown_command"),
+        (READ[:3], "bad_arity"),
+        ([*READ, b"body"], "bad_arity"),
+        (WRITE[:4], "bad_arity"),
+        ([READ[0], b"7f3a", *READ[2:]], "bad_id"),
+        ([READ[0], READ[1], b"", FIELDS], "bad_id"),
+        ([READ[0], READ[1], b"9B1F03AA5C7E2D41", FIELDS], "bad_id"),
+        *(
+            ([*READ[:3], FIELDS.replace(*change)], "bad_field")
+            for change in [
+                (b"d=480", b"d=soon"), (b"d=480", b"d=-4"), (b"d=480", b"d=0"), (b"d=480", b"d=nan"),
+                (b"d=480", b"d=999999999"), (b"c=read", b"c="), (b"c=read,", b""), (b"c=read", b"c=mark"),
+                (b"c=read", b"c=\xff\xfe"), (b"units=2", b"units=-2"), (b"shard=5", b"shard=-2"),
+                (b"volume=0", b"volume="), (b"hosts=3", b"hosts=3,x=1"), (b"hosts=3", b"hosts=3\n"), (b",d=", b",k=zz,d="),
+            ]
+        ),
+    ],
+)  # fmt: skip
+def test_each_bad_field_is_refused_before_anything_is_taken(words, code):
+    with pytest.raises(Breach) as told:
+        asked(words, KINDS, 0)
+    assert told.value.code == code
+
+
+def test_answers_of_a_node_and_what_may_be_missing_from_them():
+    done, value = answer([b"v", b"used=37,cost=4", b"inflight=7,util=0.61"])
+    assert (value, done.size, done.body, done.used, done.elsewhere) == (b"v", 1, 1, 0.37, 4)
+    assert done.load == {"inflight": 7.0, "util": 0.61}
+    # A figure or report that can't be read is dropped; the value stands.
+    for use, load in ((None, None), (b"used=much", b"\xff"), (b"", b"util=" + b"9" * 40)):
+        done, value = answer([b"v", use, load])
+        assert (value, done.used, done.elsewhere, done.load) == (b"v", -1.0, 0, {})
+    assert isinstance(answer(Error(b"BUSY"))[0], m.Full)
+    failed, _ = answer(Error(b"ERR failed used=50"))
+    assert isinstance(failed, m.Failed) and failed.used == 0.5
+
+
+@pytest.mark.parametrize(
+    "reply", [None, 7, b"v", Status(b"OK"), [None, None, None], [b"a"] * 4, Error(b"BUSY \xff"), Error(b"SYNTAX")]
+)
+def test_anything_else_from_a_node_is_a_breach(reply):
+    # A line that only begins like busy proves nothing: taken for it, a leg that ran would be sent again.
+    with pytest.raises(Breach, match=r"neither|an answer is"):
+        answer(reply)
