Resting clients make room early, and jobs are taken after SIGTERM until shortly before the kill

Checked: the gateways' counts each second; 128 served connections rested while those who came were turned away in their first milliseconds; the decisions denied next to nothing. Guilty: RespFrontFactory._make_room and its 2 s and 6 s in resp/front.py; then Service.leave, which closed after 0.55 s while clients that don't try again had 3 s of nobody. Ruled out: nodes, decisions, the limit of open jobs.

Change: near a quarter of the descriptors a connection silent for 0.25 s goes first, then the longest rested; newcomers last, without lingering. After SIGTERM jobs are taken until 0.5 s before the earliest kill; Gateway.last tells the decisions when their answers must be out.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -159,6 +159,7 @@
         self.entries: dict[int, NodeEntry] = {}
         self.reach = Reach()
         self.denied_at_door = 0
+        self.last = 0  # ns; every job taken from now on must have its answer by then; 0: no such time
         self._count = 0
         self._pulling = False
         self._timer: Timer | None = None
@@ -190,6 +191,8 @@
             raise BadRequest("bad_figure", "units, timeout and gateways must be above 0")
         now = now_ns(self.clock)
         due = self.lateness.sent_at(request.read_at) + request.timeout - self.travel
+        if self.last:
+            due = min(due, self.last)
         if due <= now:
             raise BadRequest("late_body", "its client's time was over before it was whole here")
         job = self.next_number()
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -13,7 +13,7 @@
 
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.nodes.pool import PoolLimits
-from ochrecourse.outside import MS, Network, now_ns
+from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.relay.discovery import BadNews, Book, News
 from ochrecourse.relay.start import BadStart, Start, read
 from ochrecourse.relay.watch import Watch
@@ -22,8 +22,12 @@
 from ochrecourse.resp.words import Kinds
 
 TRAVEL = 40 * MS  # ns kept back of a client's time: its way here is not seen, nor a busy loop foreseen
-GOING = 0.55  # s after SIGTERM in which connections still come and are served
+GOING = 0.55  # s after SIGTERM in which new connections still come; it serves at least as long
+KILL = (3.0, 0.7)  # s: the longest client timeout, cut to the first, and the second before it is killed
+SPARE = 0.2  # s before that by which the last answer is out
+CLOSING = 0.3  # s before that in which nothing new is taken
 RESERVE = 40  # descriptors for the process itself: listener, watches, poll, log, and a few in between
+ROOMY = 4  # part of all descriptors beyond which resting clients are closed; clients hold a third at most
 IDLE_PART = 3  # part of the time at which a node closes an idle connection after which this side does
 DIALS = 64  # at once; a dial takes a part of a second at most, and a wait for one would look like a slow node
 
@@ -31,7 +35,7 @@
 def shares(sockets: int) -> tuple[int, int]:
     """Descriptors for clients' connections and for nodes' connections, of all that the process may have."""
     free = max(16, sockets - RESERVE)
-    clients = free // 2
+    clients = free * 3 // 5  # legs take far fewer connections than the clients of a gateway hold
     return clients, free - clients
 
 
@@ -60,7 +64,7 @@
         self.gateway = Gateway(
             values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits
         )
-        self.front = RespFrontFactory(self.gateway, network, Kinds(values), clients)
+        self.front = RespFrontFactory(self.gateway, network, Kinds(values), clients, start.sockets // ROOMY)
         self.gateway.observers = [self.front]
         zones = [each for each in values.get("Zones", "").split(",") if each]
         self.book = Book(zones, unix_ns - now_ns(network))
@@ -68,6 +72,9 @@
         self.listen_at = start.listen
         self.port: Any = None
         self.leaving = False
+        count = int(values.get("Classes.count", 0))
+        longest = max((float(values.get(f"Classes.{i}.Deadline", 0)) for i in range(count)), default=0.0)
+        self.kill = min(KILL[0], longest / 1000) + KILL[1]  # s after SIGTERM
         try:
             self._told(self.book.take(start.known, cached=True))
         except BadNews as trouble:
@@ -97,7 +104,9 @@
             return
         self.leaving = True
         self.log(f"leaving; {self.gateway.ledger.open} jobs open")
-        self.network.callLater(GOING, self._close_door)
+        # Clients use the connections they have while these are open, and find nobody here once it has ended.
+        self.gateway.last = now_ns(self.network) + round((self.kill - SPARE) * SECOND)
+        self.network.callLater(max(GOING, self.kill - SPARE - CLOSING), self._close_door)
 
     def _close_door(self) -> None:
         if self.port is not None:
--- a/ochrecourse/resp/front.py
+++ b/ochrecourse/resp/front.py
@@ -24,7 +24,8 @@
 AT_ONCE = 32  # jobs of one connection; more wait unread, in bounded memory
 SPEAK = 2.2  # s for a connection's first command, and for a begun one; an error is owed within 3
 FAREWELL = 0.4  # s for a client to read its error before the connection is cut
-YOUNG = 2.0  # s without an open job before which a connection is not closed to make room
+HESITATE = 0.25  # s for a new connection's first byte; beyond it, it makes room for others first
+PAUSE = 0.25  # s without an open job before which a connection is not closed to make room
 REST = 6.0  # s without an open job after which one is closed; each holds memory
 TIDY = 1.0  # s between looks for connections to close
 
@@ -100,7 +101,9 @@
             while more:
                 more = self._has_room() and (words := self.commands.next()) is not None
                 if more:
-                    self.spoke = True
+                    if not self.spoke:
+                        self.spoke = True
+                        self.factory.silent.pop(self, None)
                     self._command(words)  # type: ignore[arg-type]  # it is not None here
                 if not more or len(self.slots) >= AT_ONCE:
                     more = self._write() and more
@@ -139,6 +142,7 @@
         self.jobs[job] = slot
         self.slots.append(slot)
         self.factory.open_ids[name] = None
+        self.factory.idle.pop(self, None)
         try:
             self.gateway.take(request, self)
         except BadRequest as trouble:
@@ -223,11 +227,12 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
-    def refuse(self, code: str, text: str) -> None:
-        """Ends a connection that never asked for anything, with an error line."""
-        if self.breach is None:
-            self._wrong(Breach(code, text))
-            self._flush()
+    def turn_away(self) -> None:
+        """Ends a connection that has not asked for anything, with an error line and at once."""
+        if self.up and not self.ending:
+            self.factory.counts["too_many_connections"] += 1
+            self.transport.write(b"-ERR too_many_connections all that this gateway takes are open\r\n")
+            self.close()
 
     # --- the answer (gateway.Asker) ---
 
@@ -273,7 +278,7 @@
 
 
 class RespFrontFactory(Factory):
-    """Makes a `RespFront` for each client, and keeps their number under `most`.
+    """Makes a `RespFront` for each client; keeps their number under `most`, and near `roomy` if it can.
 
     It looks on at the gateway's jobs (gateway.Observer): a job that ended too late for any answer ends its
     connection.
@@ -281,12 +286,14 @@
 
     noisy = False
 
-    def __init__(self, gateway: Gateway, clock: Clock, kinds: Kinds, most: int) -> None:
+    def __init__(self, gateway: Gateway, clock: Clock, kinds: Kinds, most: int, roomy: int) -> None:
         self.gateway = gateway
         self.clock = clock
         self.kinds = kinds
         self.most = most
+        self.roomy = roomy
         self.fronts: dict[RespFront, None] = {}  # oldest first
+        self.silent: dict[RespFront, None] = {}  # without a whole command so far, oldest first
         self.idle: OrderedDict[RespFront, None] = OrderedDict()  # without an open job, longest first
         self.open_ids: dict[bytes, None] = {}
         self.counts: Counter[str] = Counter()
@@ -300,13 +307,14 @@
 
     def came(self, front: RespFront) -> None:
         self.fronts[front] = None
-        self.idle[front] = None
+        self.silent[front] = None
         front.idle_since = self.clock.seconds()
-        if len(self.fronts) > self.most:
-            self._make_room(front)
+        if len(self.fronts) > self.roomy and not self._make_room() and len(self.fronts) > self.most:
+            front.turn_away()
 
     def went(self, front: RespFront) -> None:
         self.fronts.pop(front, None)
+        self.silent.pop(front, None)
         self.idle.pop(front, None)
         self.closed += 1
         if self.leaving and not self.fronts and self.left is not None:
@@ -317,19 +325,26 @@
         self.idle[front] = None
         self.idle.move_to_end(front)
 
-    def _make_room(self, newest: RespFront) -> None:
-        """Guards against running out of descriptors: a connection that never spoke goes first, then one that
-        rested; else the newest is told that there is no room."""
+    def _make_room(self) -> bool:
+        """Ends a connection that stays silent, or else the one that rested longest; False if there is none.
+
+        Guards against running out of descriptors, and against crowds that ask once and stay: clients may hold
+        so many connections in all, and while these rest nobody else can come.
+        """
         now = self.clock.seconds()
+        for front in self.silent:
+            if now - front.idle_since < HESITATE:
+                break
+            if not front.ending and front.breach is None and not front.commands.partial():
+                front.turn_away()
+                return True
         for front in self.idle:
-            if front is not newest and not front.spoke and front.breach is None:
-                front.refuse("too_many_connections", "this gateway has all the connections it takes")
-                return
-        for front in self.idle:
-            if not front.slots and not front.ending and now - front.idle_since >= YOUNG:
+            if now - front.idle_since < PAUSE:
+                break
+            if not front.ending and not front.slots and not front.commands.partial():
                 front.close()
-                return
-        newest.refuse("too_many_connections", "this gateway has all the connections it takes")
+                return True
+        return False
 
     def _tidy(self) -> None:
         self._sweep = self.clock.callLater(TIDY, self._tidy)
@@ -337,9 +352,7 @@
         for front in list(self.idle):
             if now - front.idle_since < REST:
                 break
-            if front.slots or front.ending:
-                self.idle.pop(front)
-            elif front.spoke and not front.commands.partial():
+            if not front.slots and not front.commands.partial():
                 front.close()
 
     def leave(self) -> None:
