The start file's read is a module of its own; what it means is free of I/O and in its contract

Need: relay/start.py decides what the settings mean and was kept out of the `decisions` contract by its read. Change: relay/file.py reads, relay/start.py is free of I/O and named in the contract; no other behaviour.

--- a/ochrecourse/relay/__main__.py
+++ b/ochrecourse/relay/__main__.py
@@ -11,7 +11,8 @@
 import time
 from typing import Any, cast
 
-from ochrecourse.relay.start import BadStart, read
+from ochrecourse.relay.file import read
+from ochrecourse.relay.start import BadStart
 from ochrecourse.steady import Collector, raise_files, steady_reactor
 
 
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -15,7 +15,8 @@
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.relay.discovery import BadNews, Book, News
-from ochrecourse.relay.start import BadStart, Start, read
+from ochrecourse.relay.file import read
+from ochrecourse.relay.start import BadStart, Start
 from ochrecourse.relay.watch import Watch
 from ochrecourse.resp.front import RespFrontFactory
 from ochrecourse.resp.line import dialler
--- a/ochrecourse/relay/start.py
+++ b/ochrecourse/relay/start.py
@@ -1,4 +1,4 @@
-"""What the platform tells a gateway at its start: one JSON file, to the plain map that the decisions read.
+"""What the platform tells a gateway at its start, to the plain map that the decisions read. Free of I/O.
 
 The file's `settings` are the object of the simulator's first message as nested JSON. `flat` gives them the
 form that they have on the simulator's wire: a path for each value, `.count` for lists of objects, commas
@@ -7,14 +7,10 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
-LARGEST_FILE = 16_777_216  # bytes; thousands of nodes and plans fit
-
 
 class BadStart(Exception):
     """The file is missing or not what the platform describes; the text says where."""
@@ -73,21 +69,6 @@
     return host.strip("[]"), int(port)
 
 
-def read(path: str) -> Start:
-    """Reads the file. Raises BadStart."""
-    try:
-        with Path(path).open("rb") as file:
-            data = file.read(LARGEST_FILE + 1)
-        if len(data) > LARGEST_FILE:
-            raise BadStart(f"{path} is larger than {LARGEST_FILE} bytes")
-        told = json.loads(data)
-    except OSError as trouble:
-        raise BadStart(f"{path} can't be read: {trouble.strerror}") from None
-    except (ValueError, RecursionError) as trouble:
-        raise BadStart(f"{path} is not JSON: {trouble}") from None
-    return parse(told)
-
-
 def parse(told: Any) -> Start:
     """What a file's JSON tells. Raises BadStart."""
     if not isinstance(told, dict) or not isinstance(told.get("settings"), dict):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,8 @@
 from ochrecourse.interface import Health, ListKind
 from ochrecourse.outside import MS, SECOND
 from ochrecourse.relay.discovery import BadNews, Book
-from ochrecourse.relay.start import BadStart, flat, parse, read
+from ochrecourse.relay.file import read
+from ochrecourse.relay.start import BadStart, flat, parse
 
 
 def line(name="s-1", state="Ready", port=6379, cell=3, started=0):
