First answers of a product count alike; limits' stores fill from the gateway's start

Causes, decide.py: (1) Volume.__init__ began each store empty at the volume's first job, though this gateway had drawn nothing of it since its own start; with 200 gateways nearly each volume is new for long. The store now fills from the gateway's start, which is as safe: a life never draws its part below 0. (2) _learn moved Product.pace by an eighth an answer from FIRST_LOOK, 20 ms, where a unit takes 60 to 130 ms: some 15 answers, or half a minute, at a gateway here; meanwhile every node looked three times slower than usual (alldrag 2.5) and work was denied. The first eight answers now count alike.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -50,13 +50,13 @@
         self.group = host.text(at + "KeyScope", "all")
         self.window = round(host.number(at + "Window", 0.0) * MS)
         self.in_order = host.text(at + "SerialByKey", "false") == "true"
-        self.pace = float(FIRST_LOOK)  # ns per unit its jobs were seen to take
+        self.pace, self.seen = float(FIRST_LOOK), 0  # ns per unit its jobs were seen to take, and how many
 
 
 class Volume:
     """A volume as this gateway knows it: its plan's figures and the part of them that is this gateway's."""
 
-    def __init__(self, host: Host, plan: int, gateways: int, now: int) -> None:
+    def __init__(self, host: Host, plan: int, gateways: int, began: int) -> None:
         at = f"Policies.{plan}."
         self.weight = host.number(at + "Weight", 1.0) or 1.0
         self.factor = host.number(at + "ValueFactor", 1.0)
@@ -66,7 +66,7 @@
         self.left = [float("inf")] * 2  # units of reserve and usual rate not yet used; full at first
         self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
         self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
-        self.store, self.at = 0.0, now  # empty, for what the last life drew is unknown
+        self.store, self.at = 0.0, began  # empty at this gateway's start: what the last life drew is unknown
         self.own = self.used = 0.0  # units a second served here and everywhere
 
     def refill(self, now: int) -> None:
@@ -164,9 +164,8 @@
         self.review, self.calls = deque[Held](), deque[ListCall]()  # jobs to settle, calls to make
         self.touched: dict[int, None] = {}  # nodes at which something may leave
         self.dues: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.count, self.now = 0, now
-        self.lost = self.late = 0.0  # shares of legs lost at quick nodes and of late answers
-        self.drag, self.heard = 1.0, now  # of all nodes, and when last seen
+        self.count, self.now, self.began, self.heard = 0, now, now, now
+        self.lost, self.late, self.drag = 0.0, 0.0, 1.0  # of legs at quick nodes, of answers; of all nodes
         self.taken, self.further = deque[int](), deque[int]()  # times, for the budget
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
@@ -213,7 +212,7 @@
     def job_came(self, job: Job, now: int) -> None:
         self.now, job.units = now, job.units or 1.0  # a size that was not told counts as one
         if (volume := self.volumes.get(job.volume)) is None:
-            volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, now)
+            volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, self.began)
         held = self.jobs[job.id] = Held(job, self.products[job.product], volume, now)
         if "Safety.ExtraRatio" in self.values:
             self.taken.append(now)
@@ -345,7 +344,8 @@
         if good:
             # Guards against taking a jam for the usual pace, after which nothing would be tried any more.
             usual = SOON * product.promised / self.usual_units
-            product.pace += SMOOTH * (min(usual, end.took / units) - product.pace)
+            product.seen += 1  # the first answers count alike, or a rare product stays at its first look
+            product.pace += max(SMOOTH, 1 / product.seen) * (min(usual, end.took / units) - product.pace)
         # Guards against beating on a node that turns jobs away unseen: the wait there is the promised time.
         shut = end.ending in (Ending.FULL, Ending.UNREACHABLE)
         ratio = (product.promised if shut else end.took) / (product.pace * units) + shut
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -166,7 +166,7 @@
 
 def test_newest_answer_counts_for_more_after_a_gap(desk):
     node = desk.host.nodes[70]
-    node.heard = START - 30 * SECOND
+    node.heard, desk.host.products[0].seen = START - 30 * SECOND, 8
     desk.take()
     desk.end(desk.pull()[0], START + 200 * MS, took=200 * MS)
     assert node.drag > 4.0
@@ -181,6 +181,16 @@
     assert product.pace * 2.0 < product.promised
 
 
+def test_first_answers_of_a_rare_product_set_its_pace(desk):
+    """Guards against a guess that still counts after a dozen answers, which at 200 gateways take a minute."""
+    node, product = desk.host.nodes[70], desk.host.products[0]
+    for step in range(3):
+        desk.take(START + step * SECOND)
+        node.drag = 1.0
+        desk.end(desk.pull(START + step * SECOND)[0], START + step * SECOND + 80 * MS, took=80 * MS)
+    assert product.pace == 40 * MS
+
+
 def test_unanswered_legs_double_what_a_node_is_taken_to_need(desk):
     node = desk.host.nodes[70]
     desk.take()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -108,6 +108,18 @@
     assert [type(said) for said in desk.pull(START + 200 * MS)] == [Leg]
 
 
+def test_limited_volume_fills_from_the_gateway_s_start_and_never_over_its_part(desk):
+    """Guards against a wait at each volume's first job: one life draws nothing before another begins."""
+    late = START + SECOND
+    for units in (4.0, 2.0):
+        desk.take(late, plan=1, units=units)
+    desk.host.nodes[70].window = 8.0
+    assert [type(said) for said in desk.pull(late)] == [Leg]  # 5 units have come, 40 / 2 is the most
+    desk.take(START + 100 * SECOND, plan=1, volume=9)
+    desk.pull(START + 100 * SECOND)
+    assert desk.host.volumes[9].store == 18.0
+
+
 def test_missing_setting_is_named(make_desk):
     with pytest.raises(MissingValue, match=r"Classes\.0\.Aim"):
         make_desk(Classes__0__Aim="")
