A node that left keeps no flows; late answers get an error line; 4,096 gone names kept

Cause, decide.py: a Flow, some KiB for every volume a node ever served, is forgotten only when later sends push it out of the node's history (_send, _forget); a node that left gets no later send. _left now drops history and idle flows, a leg that is still out drops its own when it ends. Late answers. RespFront.too_late ended the connection without a word when a loop at a standstill made an answer late.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -241,8 +241,7 @@
         if held.ran is None and (unsure or end.ending is Ending.ERROR):
             held.ran = (held.sent, node.shard, node.zone)
         held.over = held.over or end.last
-        pause = held.product.promised * PAUSE * self._spread()
-        held.not_before = now + round(pause * 2 ** (held.legs - 1))
+        held.not_before = now + round(held.product.promised * PAUSE * self._spread() * 2 ** (held.legs - 1))
         if unsure and held.ordered:
             self.rests[held.job.key] = now + self.settle
         self.review.append(held)
@@ -293,6 +292,9 @@
                     self._unhold(held)
                 self.review.extend(queue)
                 queue.clear()
+        node.history, node.recent = deque[int](), Counter[int]()  # no send will push these out any more
+        for volume in list(node.flows):
+            self._forget(node, volume)
 
     def _free(self, held: Held) -> None:
         """A leg no longer counts as out: the bounds react as to an answer."""
@@ -476,14 +478,12 @@
         zone = held.ran[2] if held.ran and group == "zone" else -1
         best, whole = None, 0.0
         for node in self.nodes.values():
-            fits = zone in (-1, node.zone) and shard in (-1, node.shard)
-            if node.health is not Health.READY or not fits:
-                continue
-            weight = node.window * node.good / max(node.drag, 0.1)
-            node.credit += weight
-            whole += weight
-            if best is None or node.credit > best.credit:
-                best = node
+            if shard in (-1, node.shard) and zone in (-1, node.zone) and node.health is Health.READY:
+                weight = node.window * node.good / max(node.drag, 0.1)
+                node.credit += weight
+                whole += weight
+                if best is None or node.credit > best.credit:
+                    best = node
         if best:
             best.credit -= whole
         return best
--- a/ochrecourse/relay/discovery.py
+++ b/ochrecourse/relay/discovery.py
@@ -15,7 +15,7 @@
 from ochrecourse.outside import MS
 
 STATES = {"Ready": Health.READY, "Terminating": Health.DRAINING, "Gone": Health.GONE}
-KEPT_GONE = 256  # names of gone nodes that keep their number, in case they return; older ones are forgotten
+KEPT_GONE = 4_096  # names of gone nodes that keep their number, should they return; some hundreds go at once
 
 
 class BadNews(Exception):
--- a/ochrecourse/resp/front.py
+++ b/ochrecourse/resp/front.py
@@ -259,9 +259,9 @@
             self._flush()
 
     def too_late(self, job: int) -> None:
-        """Nothing may be sent for this job any more, so nothing can be sent behind it either."""
-        if self.jobs.pop(job, None) is not None and self.up:
-            self.transport.abortConnection()
+        """An answer that a loop at a standstill made late earns nothing; none at all is a lost job, and so
+        are those behind it on a connection that ends."""
+        self._over(job, b"-ERR failed\r\n")
 
     # --- back-pressure from the client (IPushProducer) ---
 
@@ -280,8 +280,7 @@
 class RespFrontFactory(Factory):
     """Makes a `RespFront` for each client; keeps their number under `most`, and near `roomy` if it can.
 
-    It looks on at the gateway's jobs (gateway.Observer): a job that ended too late for any answer ends its
-    connection.
+    It looks on at the gateway's jobs (gateway.Observer): one that ended too late gets an error line.
     """
 
     noisy = False
@@ -369,7 +368,7 @@
         self._sweep = None
 
     def job_over(self, gateway: Gateway, story: JobStory) -> None:
-        """A job whose answer came too late to be sent."""
+        """A job whose answer came too late to be of use."""
         if story.closing is not Closing.TOO_LATE:
             return
         for front in [each for each in self.fronts if story.number in each.jobs]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -246,3 +246,19 @@
         assert sorted(places) == [entry.node for entry in entries]
         firsts.add(places[0])
     assert len(firsts) > 50
+
+
+def test_a_node_that_left_keeps_nothing_of_its_volumes(desk):
+    """Guards against memory that grows with each replaced node: some KiB for every volume it ever served."""
+    node = desk.host.nodes[70]
+    for volume in range(1, 41):
+        desk.take(volume=volume)
+        for leg in desk.pull():
+            desk.end(leg, START, took=MS)
+    desk.take(volume=99)
+    out = desk.pull()[0]
+    assert len(node.flows) == 41
+    desk.host.list_came(ListKind.DELTA, [NodeEntry(70, 0, 0, Health.GONE, 0)], START)
+    assert list(node.flows) == [99]  # its leg is still out
+    desk.end(out, START, took=MS)
+    assert not node.flows and not node.recent and not node.history
