--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -262,3 +262,19 @@
     assert list(node.flows) == [99]  # its leg is still out
     desk.end(out, START, took=MS)
     assert not node.flows and not node.recent and not node.history
+
+
+def test_a_thousand_nodes_zones_gateways_and_volumes_are_held_and_let_go(make_desk):
+    """Guards against a bound below what a fleet may have: a job for each of 1,024 nodes leaves at once."""
+    desk = make_desk(Instances="1024")
+    entries = [NodeEntry(100 + i, i, i, Health.READY, 0) for i in range(1024)]
+    desk.host.list_came(ListKind.FULL, entries, START)
+    for i in range(1024):
+        desk.take(volume=i, shard=i)
+    legs = desk.pull()
+    assert sorted(leg.node for leg in legs) == [entry.node for entry in entries]
+    desk.host.list_came(ListKind.FULL, [], START)
+    for leg in legs:
+        desk.end(leg, START + 30 * MS)
+    assert desk.pull(START + 30 * MS) == [] and not desk.host.jobs
+    assert not any(node.flows for node in desk.host.nodes.values())
