--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -29,8 +29,8 @@
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
-def read(number, d=900, shard=0, product="read"):
-    fields = f"c={product},t=p0,d={d},volume=00000003b4d60021,units=2,shard={shard},hosts=3"
+def read(number, d=900, shard=0, product="read", plan="p0"):
+    fields = f"c={product},t={plan},d={d},volume=00000003b4d60021,units=2,shard={shard},hosts=3"
     return codec.command([b"BLK.READ", b"%016x" % (number + 7), b"%016x" % number, fields.encode()])
 
 
@@ -116,6 +116,18 @@
         assert 0 < int(told[1].split(b",")[0]) <= 900 and told[1].endswith(fields[1])
 
 
+def test_the_last_of_a_thousand_plans_and_nodes_is_served():
+    """Guards against a bound on either that a fleet passes."""
+    names = {f"Policies.{i}.Name": f"p{i}" for i in range(1024)}
+    shop = Shop(**names, **{"Policies.count": "1024"})
+    more = listed(*[1] * 1023, shop.node_port, version=6)
+    shop.agent.watches[0].say(json.dumps(more).encode() + b"\n")
+    client = shop.client()
+    client.say(read(1, shard=1023, plan="p1023"))
+    shop.run(1)
+    assert client.got == value(1)
+
+
 def test_values_of_nodes_may_be_longer_than_those_of_clients():
     # Guards against taking a long answer for a spoilt one: nodes send several hundred kB for some reads.
     long = bytes(range(256)) * 1600
