--- a/ochrecourse/gateway/ledger.py
+++ b/ochrecourse/gateway/ledger.py
@@ -23,7 +23,7 @@
     DENIED = "denied"
     WRITTEN_OFF = "written off"
     CLIENT_GONE = "client gone"
-    TOO_LATE = "too late"  # the answer was ready when the client had already given up; none was sent
+    TOO_LATE = "too late"  # the answer was ready when the client had already given up; it was not sent
 
 
 @dataclass(slots=True)
