Comments of the host's running figures say what each one is

Need: two lines had been drawn together and their comment no longer told the figures apart. Comments only.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -164,8 +164,8 @@
         self.review, self.calls = deque[Held](), deque[ListCall]()  # jobs to settle, calls to make
         self.touched: dict[int, None] = {}  # nodes at which something may leave
         self.dues: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.count, self.now, self.began, self.heard = 0, now, now, now
-        self.lost, self.late, self.drag = 0.0, 0.0, 1.0  # of legs at quick nodes, of answers; of all nodes
+        self.count, self.now, self.began, self.heard = 0, now, now, now  # began: its life; heard: any node
+        self.lost, self.late, self.drag = 0.0, 0.0, 1.0  # share lost at quick nodes, share late; of all nodes
         self.taken, self.further = deque[int](), deque[int]()  # times, for the budget
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
