--- a/ochrecourse/cli/control.py
+++ b/ochrecourse/cli/control.py
@@ -16,30 +16,75 @@
 
 import click
 
+from ochrecourse.cli.handover import Sockets
+from ochrecourse.gateway.handover import Handover
 
-def serve_control(reactor: Any, path: str, daemon: Any) -> None:
-    """Listens on a path with mode 0600. Raises CannotListenError."""
+
+def serve_control(reactor: Any, path: str, daemon: Any, sockets: Sockets) -> None:
+    """Listens on a path with mode 0600; `sockets` may be handed over. Raises CannotListenError."""
     from twisted.internet.protocol import Factory
     from twisted.protocols.basic import LineReceiver
 
+    handover = Handover(daemon.record)
+
     class Control(LineReceiver):
         delimiter = b"\n"
+        transport: Any
 
         def lineReceived(self, line: bytes) -> None:
-            self.sendLine(json.dumps(answer(daemon, line)).encode())  # type: ignore[no-untyped-call]
+            asked = asked_in(line)
+            if asked == "hand over":
+                self._hand_over()
+            elif asked == "accepts":
+                self._accepts()
+            else:
+                self._say(answer(daemon, asked))
+
+        def connectionLost(self, reason: Any = None) -> None:
+            handover.lost(self)
+
+        def _hand_over(self) -> None:
+            why = handover.ask(self, daemon.gateway.leaving.takes())
+            if why:
+                self._say({"error": f"the sockets are not handed over: {why}"})
+                return
+            for port in sockets.ports.values():
+                self.transport.sendFileDescriptor(port.fileno())
+            self._say({"sockets": list(sockets.ports)})
+
+        def _accepts(self) -> None:
+            if not handover.accepted(self):
+                self._say({"error": "the sockets were not handed over"})
+                return
+            sockets.close()
+            # The path must be free before the other process listens there: its own would be unlinked else.
+            listening.stopListening().addCallback(lambda _: self._left())
+
+        def _left(self) -> None:
+            self._say({"done": True})
+            daemon.hand_over()
+
+        def _say(self, told: dict[str, Any]) -> None:
+            self.sendLine(json.dumps(told).encode())  # type: ignore[no-untyped-call]
 
     Path(path).unlink(missing_ok=True)  # left behind by a kill
     factory = Factory.forProtocol(Control)
     factory.noisy = False
-    reactor.listenUNIX(path, factory, mode=0o600)
+    listening = reactor.listenUNIX(path, factory, mode=0o600)
 
 
-def answer(daemon: Any, line: bytes) -> dict[str, Any]:
-    """What a line asks for."""
+def asked_in(line: bytes) -> str:
+    """What a line asks for; empty if it is none."""
     try:
-        asked = json.loads(line)
-        do = asked["do"]
+        do = json.loads(line)["do"]
     except (ValueError, TypeError, KeyError):
+        return ""
+    return do if isinstance(do, str) else ""
+
+
+def answer(daemon: Any, do: str) -> dict[str, Any]:
+    """What is answered to this."""
+    if not do:
         return {"error": 'a line is {"do": "show"}, drain, undrain, members or accept'}
     if do == "members":
         members: dict[str, Any] = daemon.members()
@@ -185,6 +230,9 @@
     for each in told["nodes"]:
         where = f"{each['address']}, shard {each['shard']}, zone {each['zone']}"
         lines.append(f"node       {each['node']}: {each['health']} at {where}")
+    for each in told["conflicts"]:
+        span = "" if each["for_s"] is None else f", for {each['for_s']} s"
+        lines.append(f"conflict   {each['node']}: {each['what']}{span}")
     return [*lines, *(f"note       {why}: {count}" for why, count in told.get("notes", {}).items())]
 
 
--- /dev/null
+++ b/ochrecourse/cli/handover.py
@@ -0,0 +1,133 @@
+"""`serve --take-over`: the next process of a gateway gets the listening sockets over the control socket.
+
+Lines of JSON each way, as for the other commands of that socket: `{"do": "hand over"}` is answered with
+`{"sockets": [...]}` and a descriptor for each name; `{"do": "accepts"}` with `{"done": true}`, after which
+the process that gave them leaves. What may be given and when is said in gateway/handover.py.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from typing import Any
+
+START_TIME = 20.0  # s until the process that gives them has answered and a list of nodes is there
+LOOK = 0.02  # s between looks at whether the list is there
+
+
+class Sockets:
+    """Listening sockets by what they are for: opened here, or taken over."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.taken: dict[str, int] = {}
+        self.ports: dict[str, Any] = {}
+
+    def listen(self, what: str, port: int, factory: Any, host: str) -> Any:
+        """A listening port for this. Raises CannotListenError."""
+        number = self.taken.pop(what, None)
+        with socket.socket(fileno=number) if number is not None else opened(port, host) as held:
+            # Guards against a port that Twisted opened itself: it shuts the socket down when it stops, and so
+            # ends it for the process that it was handed to as well.
+            self.ports[what] = self.reactor.adoptStreamPort(held.fileno(), held.family, factory)
+        return self.ports[what]
+
+    def close(self) -> None:
+        """Stops accepting; another process holds the same sockets."""
+        for port in self.ports.values():
+            port.stopListening()
+        self.ports.clear()
+
+    def give_back(self) -> None:
+        """Closes what was taken and is not used: other settings may not listen where these did."""
+        for number in self.taken.values():
+            os.close(number)
+        self.taken.clear()
+
+
+def opened(port: int, host: str) -> socket.socket:
+    """A new listening socket. Raises CannotListenError."""
+    from twisted.internet.error import CannotListenError
+
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        held = socket.create_server((host, port), family=family, backlog=4096)
+    except OSError as trouble:
+        raise CannotListenError(host, port, trouble) from None  # type: ignore[no-untyped-call]
+    held.setblocking(False)
+    return held
+
+
+def where(number: int) -> str:
+    """HOST:PORT of a listening socket."""
+    with socket.socket(fileno=os.dup(number)) as held:
+        name = held.getsockname()
+    return f"{name[0]}:{name[1]}"
+
+
+Accepts = Callable[[Callable[[], None]], None]
+
+
+def ask_for(
+    reactor: Any, path: str, came: Callable[[dict[str, int], Accepts], None], failed: Callable[[str], None]
+) -> None:
+    """Asks the process at a control socket for its listening sockets.
+
+    `came` gets descriptors by name, and what is to be called once this process accepts; that in turn calls
+    back when the other one has let go of its control socket. `failed` gets a sentence; then the other process
+    goes on.
+    """
+    from twisted.internet.interfaces import IFileDescriptorReceiver
+    from twisted.internet.protocol import ClientFactory
+    from twisted.protocols.basic import LineReceiver
+    from zope.interface import implementer
+
+    @implementer(IFileDescriptorReceiver)
+    class Taker(LineReceiver):
+        delimiter = b"\n"
+        over = False
+
+        def connectionMade(self) -> None:
+            self.numbers: list[int] = []
+            self.then: Callable[[], None] | None = None
+            self._say("hand over")
+
+        def fileDescriptorReceived(self, descriptor: int) -> None:
+            self.numbers.append(descriptor)
+
+        def lineReceived(self, line: bytes) -> None:
+            told = json.loads(line)
+            if "error" in told:
+                self.over = True
+                failed(told["error"])
+            elif self.then is not None:
+                self.over = True
+                self.then()
+            else:
+                came(dict(zip(told["sockets"], self.numbers, strict=True)), self._accepts)
+
+        def _accepts(self, then: Callable[[], None]) -> None:
+            self.then = then
+            self._say("accepts")
+
+        def _say(self, what: str) -> None:
+            self.sendLine(json.dumps({"do": what}).encode())  # type: ignore[no-untyped-call]
+
+        def connectionLost(self, reason: Any = None) -> None:
+            if self.over:
+                return
+            if self.then is not None:
+                self.then()  # it was told and is gone: nobody else accepts now
+            else:
+                failed("the running gateway ended before its sockets were taken over")
+
+    class Factory(ClientFactory):
+        noisy = False
+        protocol = Taker
+
+        def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+            failed(f"no gateway answers there: {reason.getErrorMessage()}")
+
+    reactor.connectUNIX(path, Factory(), timeout=5)
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -16,9 +16,16 @@
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path))
-def serve(file: Path) -> None:
+@click.option(
+    "--take-over", is_flag=True, help="Take the listening sockets of the process that runs with them now."
+)
+def serve(file: Path, take_over: bool) -> None:
     """Run a gateway with the settings of FILE.
 
+    With --take-over the process that runs with them now (found by `gateway.control`) goes on accepting until
+    this one has a list of nodes; then it finishes what it holds and leaves. If that does not come about, it
+    goes on as before and this one ends with exit code 2.
+
     The first line on standard output is `listening HOST:PORT`. SIGTERM drains: nothing new is taken, all that
     is held is answered in time, exit code 0. SIGHUP reads FILE again and takes over what may change.
     """
@@ -31,9 +38,11 @@
 
     from ochrecourse.cli.admin import admin_site
     from ochrecourse.cli.control import serve_control
+    from ochrecourse.cli.handover import LOOK, START_TIME, Sockets, ask_for, where
     from ochrecourse.cli.logs import LEVELS, AccessLog, Aside, JobLog, set_up
     from ochrecourse.durable.journal import BadJournal
     from ochrecourse.gateway.daemon import Daemon
+    from ochrecourse.gateway.handover import moved_from
     from ochrecourse.gateway.sampling import Sampling
     from ochrecourse.settings.load import Refused, address, load
     from ochrecourse.webdav.kept import Unreadable
@@ -76,34 +85,82 @@
     def on_signal(number: int, frame: Any) -> None:
         reactor.callFromThread(daemon.drain if number in (signal.SIGTERM, signal.SIGINT) else reload)
 
-    try:
-        host, port = daemon.start()
-        if settings["gateway"]["admin"]:
-            where = address(settings["gateway"]["admin"])
-            if where is None:
-                click.echo(f"{file}: gateway.admin is not HOST:PORT", err=True)
-                sys.exit(1)
-            site = reactor.listenTCP(where[1], admin_site(daemon), interface=where[0])
+    sockets = Sockets(reactor)
+    control, admin = settings["gateway"]["control"], settings["gateway"]["admin"]
+    at_admin = address(admin) if admin else None
+    if admin and at_admin is None:
+        click.echo(f"{file}: gateway.admin is not HOST:PORT", err=True)
+        sys.exit(1)
+
+    def accept() -> None:
+        host, port = daemon.listen(sockets.listen)
+        if at_admin is not None:
+            site = sockets.listen("admin", at_admin[1], admin_site(daemon), at_admin[0])
             log.info("health page", port=site.getHost().port)
-        if settings["gateway"]["control"]:
-            serve_control(reactor, settings["gateway"]["control"], daemon)
-    except CannotListenError as trouble:
-        click.echo(f"ochrecourse: cannot listen: {trouble.socketError}", err=True)
-        sys.exit(2)
+        sockets.give_back()
+        click.echo(f"listening {host}:{port}")
+        if daemon.door_listening is not None:
+            at = daemon.door_listening.getHost()
+            click.echo(f"webdav {at.host}:{at.port}")
+        sys.stdout.flush()
+        log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
+
+    trouble_at_start: list[str] = []
+
+    def not_taken(why: str) -> None:
+        if not trouble_at_start:  # the end of the connection that follows is no further trouble
+            trouble_at_start.append(f"nothing was taken over: {why}")
+            reactor.stop()
+
+    def taken(held: dict[str, int], accepts: Any) -> None:
+        """The list of nodes first: until it is there, the other process serves better than this one."""
+        sockets.taken = held
+        moved = moved_from(settings, {what: where(number) for what, number in held.items()})
+        if moved:
+            not_taken(moved)
+        else:
+            look(accepts, reactor.seconds() + START_TIME)
+
+    def look(accepts: Any, latest: float) -> None:
+        if daemon.gateway.entries:
+            try:
+                accept()
+            except CannotListenError as trouble:
+                not_taken(f"cannot listen: {trouble.socketError}")
+                return
+            accepts(lambda: serve_control(reactor, control, daemon, sockets))
+        elif reactor.seconds() > latest:
+            not_taken(f"no list of nodes came within {START_TIME:g} s")
+        else:
+            reactor.callLater(LOOK, look, accepts, latest)
+
+    if take_over:
+        if not control:
+            click.echo(f"{file}: --take-over asks the running process at gateway.control; set it", err=True)
+            sys.exit(1)
+        daemon.follow()
+        ask_for(reactor, control, taken, not_taken)
+    else:
+        try:
+            daemon.follow()
+            accept()
+            if control:
+                serve_control(reactor, control, daemon, sockets)
+        except CannotListenError as trouble:
+            click.echo(f"ochrecourse: cannot listen: {trouble.socketError}", err=True)
+            sys.exit(2)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, on_signal)
-    click.echo(f"listening {host}:{port}")
-    if daemon.door_listening is not None:
-        at = daemon.door_listening.getHost()
-        click.echo(f"webdav {at.host}:{at.port}")
-    sys.stdout.flush()
     door = daemon.door
     Collector(
         reactor,
         lambda: not daemon.gateway.ledger.open,
         lambda: daemon.front.closed + (door.closed if door is not None else 0),
     )
-    log.info("serving", host=host, port=port, pid=os.getpid(), open_files=files)
     reactor.run(installSignalHandlers=False)
-    log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
+    if not trouble_at_start:
+        log.info("left", jobs=daemon.gateway.ledger.taken, log_lines_dropped=aside.dropped)
     aside.close()
+    for why in trouble_at_start:
+        click.echo(f"ochrecourse: {why}", err=True)
+        sys.exit(2)
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -20,12 +20,15 @@
 from ochrecourse.durable.journal import InFile, InMemory, Journal
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway, Observer
-from ochrecourse.interface import Decisions, Health
+from ochrecourse.gateway.ledger import JobStory
+from ochrecourse.interface import Decisions, Health, ListKind
+from ochrecourse.membership.conflicts import Sightings, conflicts
 from ochrecourse.membership.enrolled import Enrolled
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.registrar import Registrar, age_clock
 from ochrecourse.membership.view import Copy, News
 from ochrecourse.nodes.link import dialler
+from ochrecourse.nodes.proof import Seen
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.settings.load import address
 from ochrecourse.settings.plain import plain_map
@@ -36,6 +39,7 @@
 from ochrecourse.webdav.methods import Quota
 
 TREE = ("webdav-tree", 1)  # name and version of the file of names and locks
+NATIVE = "native"  # the listening socket of the native framing, by name
 LAST_WORDS = 0.2  # s for the last answers to leave before the process ends
 
 # What a running gateway takes over from settings that are read again; the rest needs a restart.
@@ -68,6 +72,7 @@
         self.gone = gone
         own = record["gateway"]
         seed = own["seed"] or random.SystemRandom().getrandbits(63)
+        self.sightings = Sightings()
         self.gateway = Gateway(
             plain_map(record),
             seed,
@@ -75,7 +80,7 @@
             dialler(network),
             own["name"],
             round(own["travel"] * MS),
-            observers,
+            [self, *observers],
             decisions,
         )
         self.front = FrontFactory(self.gateway, network, record["clients"]["connections"])
@@ -140,14 +145,23 @@
 
     def start(self) -> tuple[str, int]:
         """Serves from now on; returns the address that it listens on. Raises CannotListenError."""
-        host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
+        self.follow()
+        return self.listen(self._open)
+
+    def follow(self) -> None:
+        """Follows the list of nodes; nothing is accepted yet."""
         self.follower.start()
-        self.listening = self.network.listenTCP(port, self.front, backlog=4096, interface=host)
+
+    def _open(self, what: str, port: int, factory: Any, host: str) -> Any:
+        return self.network.listenTCP(port, factory, backlog=4096, interface=host)
+
+    def listen(self, listen: Callable[[str, int, Any, str], Any]) -> tuple[str, int]:
+        """Accepts from now on; `listen` opens a port for what is named. Raises CannotListenError."""
+        host, port = address(self.record["gateway"]["listen"]) or ("127.0.0.1", 0)
+        self.listening = listen(NATIVE, port, self.front, host)
         if self.door is not None:
             door_host, door_port = address(self.record["webdav"]["listen"]) or ("127.0.0.1", 0)
-            self.door_listening = self.network.listenTCP(
-                door_port, self.door, backlog=4096, interface=door_host
-            )
+            self.door_listening = listen("webdav", door_port, self.door, door_host)
         if self.speaker is not None:
             self.speaker.start()
         if self.enrolled is not None:
@@ -184,6 +198,11 @@
         if self.speaker is None or not self.speaker.begin_drain():
             self._leave()
 
+    def hand_over(self) -> None:
+        """Another process accepts on this one's sockets, which are closed here: what is held is finished."""
+        self.listening = None
+        self._leave()
+
     def sight(self) -> Sight:
         """What this gateway sees of itself now."""
         gateway, now = self.gateway, now_ns(self.network)
@@ -228,6 +247,14 @@
             "epoch": follower.view.epoch,
             "age_s": None if age is None else round(age / SECOND, 3),
             "nodes": [msgspec.structs.asdict(line) for _, line in sorted(follower.view.lines.items())],
+            "conflicts": [
+                {
+                    "node": each.node,
+                    "what": each.what,
+                    "for_s": round((now - each.since) / SECOND, 3) if each.since else None,
+                }
+                for each in conflicts(self.gateway.entries, self.sightings, now)
+            ],
             "counts": dict(follower.counts),
             "lease": None if self.enrolled is None else self.enrolled.held(),
         }
@@ -278,6 +305,7 @@
             "client_connections": len(self.front.fronts),
             "client_connections_limit": self.front.most,
             "nodes_listed": len(gateway.entries),
+            "list_conflicts": len(conflicts(gateway.entries, self.sightings, now)),
             "list_age_seconds": -1.0 if age is None else age / SECOND,
             "list_epoch": self.follower.view.epoch,
             "list_gaps_total": self.follower.view.gaps,
@@ -309,7 +337,14 @@
                 told[f'events_total{{what="{what}"}}'] = count
         return told
 
+    def job_over(self, gateway: Gateway, story: JobStory) -> None:
+        """What a job's legs said of their nodes."""
+        for leg in story.legs:
+            if leg.why:
+                self.sightings.leg_over(leg.node, Seen(leg.why), leg.sent + leg.took)
+
     def _news(self, news: News) -> None:
+        self.sightings.listed(news.entries, news.kind is not ListKind.DELTA, now_ns(self.network))
         self.gateway.list_came(news.kind, news.entries, news.addresses)
 
     def _leave(self) -> None:
@@ -321,7 +356,8 @@
             self.gateway.drain()
 
     def _left(self) -> None:
-        self.listening.stopListening()
+        if self.listening is not None:
+            self.listening.stopListening()
         self.listening = None
         if self.door_listening is not None:
             self.door_listening.stopListening()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,145 @@
+"""Listening sockets handed to the next process: who may, what each step needs, and a rolling restart on real sockets."""
+
+import json
+import signal
+import socket
+import subprocess
+import threading
+
+import pytest
+from test_sockets import LONG, Client, gateway, ochrecourse, running  # noqa: F401  (fixtures)
+
+from ochrecourse.gateway.handover import Handover, Step, in_the_way, moved_from
+from ochrecourse.wire import messages as m
+
+PLAIN = {"gateway": {"name": "g0", "seed": 0, "listen": "127.0.0.1:7000", "admin": ""}}
+
+
+@pytest.mark.parametrize(
+    ("more", "why"),
+    [
+        ({}, ""),
+        ({"bgp": {}}, "BGP moves its traffic"),
+        ({"webdav": {}}, "names and locks"),
+        ({"gateway": {"seed": 5}}, "name their jobs alike"),
+    ],
+)
+def test_what_stands_in_the_way_is_said(more, why):
+    told = in_the_way({**PLAIN, **more})
+    assert (why in told) if why else told == ""
+    assert bool(Handover({**PLAIN, **more}).ask("taker", True)) == bool(why)
+
+
+@pytest.mark.parametrize(
+    ("listen", "held", "moved"),
+    [
+        ("127.0.0.1:7000", "127.0.0.1:7000", False), ("127.0.0.1:0", "127.0.0.1:7000", False),
+        ("127.0.0.1:7001", "127.0.0.1:7000", True), ("127.0.0.2:7000", "127.0.0.1:7000", True),
+        ("[::1]:7000", "::1:7000", False),
+    ],
+)  # fmt: skip
+def test_sockets_that_the_settings_put_elsewhere_are_not_taken(listen, held, moved):
+    record = {"gateway": {**PLAIN["gateway"], "listen": listen}}
+    assert bool(moved_from(record, {"native": held})) == moved
+
+
+def test_a_socket_of_no_setting_any_more_is_no_move():
+    assert not moved_from(PLAIN, {"native": "127.0.0.1:7000", "admin": "127.0.0.1:9"})
+
+
+def test_one_taker_at_a_time_and_each_step_once():
+    handover = Handover(PLAIN)
+    assert not handover.accepted("a") and handover.step is Step.NONE  # it did not ask
+    assert handover.ask("a", True) == "" and "not ready" in handover.ask("b", True)
+    assert not handover.accepted("b")
+    handover.lost("b")
+    assert handover.step is Step.OFFERED
+    handover.lost("a")  # it ended before its word: as if nobody had asked
+    assert handover.step is Step.NONE and not handover.accepted("a")
+    assert handover.ask("b", True) == "" and handover.accepted("b") and not handover.accepted("b")
+    handover.lost("b")
+    assert handover.step is Step.GIVEN and "leaving" in handover.ask("c", True)
+
+
+def test_a_gateway_that_leaves_gives_nothing():
+    assert "leaving" in Handover(PLAIN).ask("a", False)
+
+
+def members(path):
+    done = subprocess.run(ochrecourse("members", "show", path, "--json"), capture_output=True, text=True, timeout=LONG)
+    return json.loads(done.stdout)
+
+
+def test_rolling_restart_refuses_no_connection_and_each_job_has_its_answer(gateway, running, tmp_path):  # noqa: F811
+    control = tmp_path / "control"
+    first = gateway(control=str(control))
+    old = Client(first.address)
+    old.serve_one()
+    gateway.nodes.process.stdin.write(b"hang 0.5 0 0 2\n")  # one of two nodes: some job is held across the restart
+    gateway.nodes.process.stdin.flush()
+    for number in range(2001, 2021):
+        old.ask(number, timeout_ms=5000, shard=number % 2)
+    stop, answers, refused = threading.Event(), [], []
+
+    def come():
+        """New connections all the time, a job on each."""
+        while not stop.is_set():
+            try:
+                client = Client(first.address)
+                client.ask(1, timeout_ms=5000)
+                answers.append(type(client.answer()))
+                client.socket.close()
+            except OSError as trouble:
+                refused.append(trouble)
+
+    coming = threading.Thread(target=come)
+    coming.start()
+    gateway.path.write_text(gateway.path.read_text().replace('listen: "127.0.0.1:0"', f'listen: "{first.address}"'))
+    second = running("serve", gateway.path, "--take-over")
+    assert second.address == first.address
+    held = [old.answer() for _ in range(20)]
+    assert sorted(each.id for each in held) == list(range(2001, 2021))
+    assert first.process.wait(timeout=LONG) == 0
+    again = Client(second.address)
+    again.serve_one()
+    stop.set()
+    coming.join()
+    assert not refused and answers and set(answers) <= {m.Fulfilled, m.Denied, m.WrittenOff}
+    assert members(control)["nodes"]  # the second one's: the first has ended
+    assert second.end()[0] == 0
+
+
+def test_process_that_can_not_take_over_ends_and_the_running_one_goes_on(gateway, running, tmp_path):  # noqa: F811
+    control = tmp_path / "control"
+    first = gateway(control=str(control), seed=7)
+    Client(first.address).serve_one()
+
+    def refused():
+        words = ochrecourse("serve", gateway.path, "--take-over")
+        done = subprocess.run(words, capture_output=True, text=True, timeout=LONG)
+        assert "Traceback" not in done.stderr and not done.stdout
+        return done.returncode, done.stderr
+
+    code, said = refused()
+    assert code == 2 and "nothing was taken over" in said and "gateway.seed is set" in said
+    Client(first.address).serve_one()
+    text = gateway.path.read_text()
+    gateway.path.write_text(text.replace(str(control), ""))
+    assert refused()[0] == 1
+    gateway.path.write_text(text.replace(str(control), str(tmp_path / "nobody")))
+    code, said = refused()
+    assert code == 2 and "no gateway answers there" in said
+    Client(first.address).serve_one()
+    assert first.end()[0] == 0
+
+
+def test_settings_that_moved_are_not_taken_over(gateway, running, tmp_path):  # noqa: F811
+    first = gateway(control=str(tmp_path / "control"))
+    Client(first.address).serve_one()
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        at = f"127.0.0.1:{other.getsockname()[1]}"
+    gateway.path.write_text(gateway.path.read_text().replace('listen: "127.0.0.1:0"', f'listen: "{at}"'))
+    done = subprocess.run(ochrecourse("serve", gateway.path, "--take-over"), capture_output=True, text=True, timeout=LONG)
+    assert done.returncode == 2 and "a move needs a restart" in done.stderr and "Traceback" not in done.stderr
+    Client(first.address).serve_one()
+    assert first.end(signal.SIGTERM)[0] == 0
