--- a/ochrecourse/cli/main.py
+++ b/ochrecourse/cli/main.py
@@ -21,6 +21,7 @@
     "day": ("ochrecourse.cli.day:day", "List, run and convert scripted days."),
     "bgp": ("ochrecourse.cli.control:bgp", "Show, drain and undrain a running gateway's service addresses."),
     "members": ("ochrecourse.cli.control:members", "Show and accept the list of nodes that a gateway holds."),
+    "alike": ("ochrecourse.cli.alike:alike", "Run one scenario through library and daemon, and compare."),
     "audit": ("ochrecourse.cli.audit:audit_records", "Judge the seven rules from records."),
 }
 
--- /dev/null
+++ b/ochrecourse/library.py
@@ -0,0 +1,45 @@
+"""What programs of one's own may rely on: the gateway as a library, by these names. See docs/library.md.
+
+`SURFACE` counts up when one of these names changes its meaning or goes; names that are added leave it. What
+is not named here may change with any version.
+"""
+
+from __future__ import annotations
+
+from ochrecourse.gateway.gateway import Asker, BadRequest, Gateway, Observer, Request
+from ochrecourse.gateway.ledger import Closing, JobStory, LegStory
+from ochrecourse.gateway.spool import Spool
+from ochrecourse.interface import Ending, Health, ListKind, NodeEntry
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.membership.follower import Follower
+from ochrecourse.membership.view import News
+from ochrecourse.nodes.link import dialler
+from ochrecourse.settings.load import Refused, load, resolve
+from ochrecourse.settings.plain import plain_map
+
+SURFACE = 1
+
+__all__ = [
+    "SURFACE",
+    "Asker",
+    "BadRequest",
+    "Closing",
+    "Ending",
+    "Follower",
+    "Gateway",
+    "Health",
+    "JobStory",
+    "LegStory",
+    "ListKind",
+    "News",
+    "NodeEntry",
+    "Observer",
+    "Refused",
+    "Request",
+    "Spool",
+    "VirtualNetwork",
+    "dialler",
+    "load",
+    "plain_map",
+    "resolve",
+]
