Signals are heard before the first line of serve; the control socket's answers take lines again

Seen: SIGTERM right after `listening` ended the process with -15. At fault: printed that line before cli/serve.py set its signal handlers; they are set first again, also where sockets are taken over. And `answer` in cli/control.py had got another parameter than its callers in test_registrar.py hand it.

--- a/ochrecourse/cli/control.py
+++ b/ochrecourse/cli/control.py
@@ -38,7 +38,7 @@
             elif asked == "accepts":
                 self._accepts()
             else:
-                self._say(answer(daemon, asked))
+                self._say(answer(daemon, line))
 
         def connectionLost(self, reason: Any = None) -> None:
             handover.lost(self)
@@ -82,8 +82,9 @@
     return do if isinstance(do, str) else ""
 
 
-def answer(daemon: Any, do: str) -> dict[str, Any]:
-    """What is answered to this."""
+def answer(daemon: Any, line: bytes) -> dict[str, Any]:
+    """What a line asks for."""
+    do = asked_in(line)
     if not do:
         return {"error": 'a line is {"do": "show"}, drain, undrain, members or accept'}
     if do == "members":
--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -85,6 +85,9 @@
     def on_signal(number: int, frame: Any) -> None:
         reactor.callFromThread(daemon.drain if number in (signal.SIGTERM, signal.SIGINT) else reload)
 
+    # Before the first line: who reads it may send a signal at once.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
     sockets = Sockets(reactor)
     control, admin = settings["gateway"]["control"], settings["gateway"]["admin"]
     at_admin = address(admin) if admin else None
@@ -149,8 +152,6 @@
         except CannotListenError as trouble:
             click.echo(f"ochrecourse: cannot listen: {trouble.socketError}", err=True)
             sys.exit(2)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
     door = daemon.door
     Collector(
         reactor,
