--- a/ochrecourse/cli/serve.py
+++ b/ochrecourse/cli/serve.py
@@ -122,9 +122,9 @@
         if moved:
             not_taken(moved)
         else:
-            look(accepts, reactor.seconds() + START_TIME)
+            look(accepts)
 
-    def look(accepts: Any, latest: float) -> None:
+    def look(accepts: Any) -> None:
         if daemon.gateway.entries:
             try:
                 accept()
@@ -132,16 +132,21 @@
                 not_taken(f"cannot listen: {trouble.socketError}")
                 return
             accepts(lambda: serve_control(reactor, control, daemon, sockets))
-        elif reactor.seconds() > latest:
-            not_taken(f"no list of nodes came within {START_TIME:g} s")
         else:
-            reactor.callLater(LOOK, look, accepts, latest)
+            reactor.callLater(LOOK, look, accepts)
+
+    def too_late() -> None:
+        """Guards against a running process that hangs: it takes the connection and never answers."""
+        if daemon.listening is None and daemon.gateway.leaving.takes():
+            missing = "list of nodes came" if sockets.taken else "answer came from the running gateway"
+            not_taken(f"no {missing} within {START_TIME:g} s")
 
     if take_over:
         if not control:
             click.echo(f"{file}: --take-over asks the running process at gateway.control; set it", err=True)
             sys.exit(1)
         daemon.follow()
+        reactor.callLater(START_TIME, too_late)
         ask_for(reactor, control, taken, not_taken)
     else:
         try:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 
 import pytest
@@ -172,3 +173,25 @@
     assert second.address == at
     Client(second.address).serve_one()
     assert second.end()[0] == 0 and os.path.exists(path) is False
+
+
+@pytest.mark.parametrize(("gives", "why"), [(False, "no answer came from the running gateway"), (True, "no list of nodes came")])
+def test_process_that_waits_in_vain_ends_in_one_sentence(gateway, tmp_path, gives, why):  # noqa: F811
+    path = tmp_path / "control"
+    first = gateway(control=str(path))  # for its settings
+    assert first.end(signal.SIGKILL)[0] == -signal.SIGKILL
+    for left in (path, tmp_path / "g0.nodes"):
+        left.unlink(missing_ok=True)
+    gateway.path.write_text(gateway.path.read_text().replace(gateway.nodes.address, "127.0.0.1:1"))
+    soon = "from ochrecourse.cli import handover, main; handover.START_TIME = 0.5; main.main()"
+    with socket.create_server(("127.0.0.1", 0)) as held, socket.socket(socket.AF_UNIX) as control:
+        control.bind(str(path))
+        control.listen()
+        words = [sys.executable, "-c", soon, "serve", str(gateway.path), "--take-over"]
+        second = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        taker, _ = control.accept()
+        with taker:
+            if gives:
+                socket.send_fds(taker, [b'{"sockets": ["native"]}\n'], [held.fileno()])
+            said, errors = second.communicate(timeout=LONG)
+    assert second.returncode == 2 and why in errors and not said and "Traceback" not in errors
