Attempts carry their latest writing time, and the transport obeys it

Forced by a test: a further attempt is decided inside the window, waits for a connection that comes up late, and is written behind the window's end. Guilty: Host._again compared the window with the moment of the decision only; Carrier._go wrote whenever a connection came, by its own dial, by Pool.opened or by Pool.relieve. Excluded: what Gateway.ended reports of a wait for a dial (it ends as unreachable, which proves that nothing ran).

Change: Leg.write_before, set by decide.py (the client's time, and the window for an attempt after one that may have run); Carrier ends an attempt that is not whole by then as never sent, by a timer and once more at the moment of writing, since a loop that stood still sees the connection before the timer. The gateway tells the decisions when an attempt was written (attempt_written): the window counts from there, and units drawn from a volume's limit still lie in the nodes' store until then, so a store does not fill over its depth meanwhile (attempts that wait for late connections could come up together and pass a limit).

Green, kept as guards: the time told to a node is what is left when it is written, with a dial of 1.2 s as well; a given-up attempt leaves a connection that carries no other; an attempt that waits takes no connection that is ending.

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -68,13 +68,15 @@
         self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
         self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
         self.store, self.at = 0.0, began  # empty at this gateway's start: what the last life drew is unknown
+        self.unwritten = 0.0  # units drawn from the store that no attempt has brought to a node yet
         self.own = self.used = 0.0  # units a second served here and everywhere
 
     def refill(self, now: int) -> None:
         past, self.at = (now - self.at) / SECOND, now
         for i, rate in enumerate((self.reserve, self.rate)):  # a part holds the largest job
             self.left[i] = rate and min(rate * self.share + self.top, self.left[i] + rate * self.share * past)
-        self.store = min(self.depth, self.store + self.limit * past)
+        # Guards against a late connection: what is drawn but not written still lies in the nodes' store.
+        self.store = min(self.depth - self.unwritten, self.store + self.limit * past)
         self.own *= 0.5 ** (past * SECOND / RATE_HALF)
 
     def draw(self, units: float, now: int) -> str:
@@ -106,6 +108,7 @@
         self.legs = self.not_before = self.sent = 0
         self.node: Node | None = None  # where it waits or has a leg out
         self.waiting = self.out = self.counted = self.over = self.streaming = False
+        self.drawn = 0.0  # units drawn from its volume's store while no attempt was written yet
         self.wait = 0  # ns until the first node that it may go to has room, where all are bounded
         self.ordered = product.in_order and job.key != 0
         self.turn = not self.ordered  # its key lets it go
@@ -229,6 +232,13 @@
             self._advance(job.key)
         self._due(held.promised - self.edge, self.review.append, held)
 
+    def attempt_written(self, job: int, now: int) -> None:
+        """The attempt that is out was handed to a connection: from now on it may run."""
+        self.now = now
+        if (held := self.jobs.get(job)) and held.out:
+            held.sent = now
+            held.volume.unwritten, held.drawn = held.volume.unwritten - held.drawn, 0.0
+
     def leg_ended(self, end: LegEnd, now: int) -> None:
         self.now = now
         held = self.jobs.get(end.job)
@@ -450,6 +460,7 @@
     def _close(self, held: Held) -> None:
         if not held.out:
             self.jobs.pop(held.job.id, None)
+            held.volume.unwritten, held.drawn = held.volume.unwritten - held.drawn, 0.0
         if held.ordered:
             self._advance(held.job.key)
 
@@ -511,10 +522,8 @@
         most = int(self.number("Limits.MaxAttempts", 1.0))
         if held.legs >= min(most, 1 + max(1, round((most - 1) * self.number(held.part, 1.0)))):
             return False
-        if held.ran is not None and held.product.effect != "safe":
-            lapsed = self.now + self.edge >= held.ran[0] + held.product.window
-            if held.product.effect == "unsafe" or lapsed:
-                return False
+        if self.now >= self._repeat_until(held) or (held.ran is not None and held.product.effect == "unsafe"):
+            return False
         if "Safety.ExtraRatio" not in self.values:
             return True
         since = self.now - round(self.number("Safety.CountedOver", 0.0) * MS)
@@ -524,6 +533,11 @@
         free = self.number("Safety.ExtraFloor", 0.0) + self.number("Safety.ExtraRatio") * len(self.taken)
         return len(self.further) + 1 <= free
 
+    def _repeat_until(self, held: Held) -> int:
+        """Until when an attempt may be written: the client waits; if one may have run, its window is open."""
+        ran = held.ran if held.product.effect == "keyed" else None
+        return min(held.job.client_timeout, ran[0] + held.product.window - self.edge if ran else NEVER)
+
     def _place(self, held: Held) -> Node | None:
         """The node of the job's shard; new objects take turns, weighted by what each node managed."""
         group = held.product.group if held.ran and held.product.effect == "keyed" else "all"
@@ -651,6 +665,7 @@
             flow.finish = tag + job.units / flow.volume.weight
         if not held.legs:
             flow.volume.store -= job.units
+            flow.volume.unwritten, held.drawn = flow.volume.unwritten + job.units, job.units
         elif "Safety.ExtraRatio" in self.values:
             self.further.append(self.now)
         flow.before, flow.units = flow.units, flow.units + job.units
@@ -676,7 +691,8 @@
         again = held.product.effect != "unsafe" and self._lossy()  # there may be time for another
         patience = max(0 if again else held.product.promised, LOST * self._needs(held, node))
         self._due(self.now + patience, self._lost, (held, held.legs))
-        return Leg(job.id, held.legs - 1, node.id, patience if again or held.product.effect == "safe" else 0)
+        time_out = patience if again or held.product.effect == "safe" else 0
+        return Leg(job.id, held.legs - 1, node.id, time_out, self._repeat_until(held))
 
     def _lossy(self) -> bool:
         return max(LOSSY[0], self.late) < self.lost < LOSSY[1]
--- a/ochrecourse/drill/__main__.py
+++ b/ochrecourse/drill/__main__.py
@@ -8,7 +8,7 @@
 from ochrecourse.decide import Host
 from ochrecourse.drill import frames
 from ochrecourse.drill.frames import BadFrame, Batch
-from ochrecourse.interface import MissingValue
+from ochrecourse.interface import Leg, MissingValue
 
 LONGEST_WAKE = 3_600_000_000_000  # ns; the wire takes no timer of more than 71 minutes
 
@@ -84,6 +84,8 @@
     """Writes each decision of one instance, and a timer where it wants to be asked sooner than set."""
     while (said := seat.host.decide(now)) is not None:
         out.append(frames.answer(gateway, said))
+        if isinstance(said, Leg):
+            seat.host.attempt_written(said.job, now)  # actions take effect at the batch's time
     due = min(max(seat.host.next_due(), now + 1000), now + LONGEST_WAKE)
     if seat.wake_at is None or due < seat.wake_at:
         seat.wake_at = due
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -333,6 +333,9 @@
 
     # --- the nodes' side (nodes.carrier.Taker) ---
 
+    def written(self, leg: LegOut) -> None:
+        self.host.attempt_written(leg.job, now_ns(self.clock))
+
     def began(self, leg: LegOut, answer: m.Done) -> None:
         task = self.tasks[leg.job]
         if answer.size > answer.body:
@@ -446,7 +449,9 @@
         # the wait. Another goes elsewhere after the time that the settings give a dial.
         alone = request.shard >= 0 and self.holders[request.shard] <= 1
         wait = story.taken + self.kinds.aims[product] - now if alone else None
-        task.leg = self.nodes.send(said.job, said.node, message, request.body, time_out, stall, self, wait)
+        task.leg = self.nodes.send(
+            said.job, said.node, message, request.body, time_out, stall, self, wait, said.write_before
+        )
 
     def _answer(self, said: Verdict, now: int) -> None:
         denied = said.answer is Answer.DENIED
--- a/ochrecourse/interface.py
+++ b/ochrecourse/interface.py
@@ -89,6 +89,7 @@
     number: int
     node: int
     time_out: int  # how long to wait for it; 0 means until the client gives up
+    write_before: int = 0  # clock time from which on it may not be written any more; 0 means no such time
 
 
 @dataclass(slots=True)
@@ -126,6 +127,8 @@
 
     def job_came(self, job: Job, now: int) -> None: ...
 
+    def attempt_written(self, job: int, now: int) -> None: ...
+
     def leg_ended(self, end: LegEnd, now: int) -> None: ...
 
     def bounds_came(self, bounds: Mapping[int, float], now: int) -> None: ...
--- a/ochrecourse/lab/baselines.py
+++ b/ochrecourse/lab/baselines.py
@@ -58,6 +58,9 @@
         self.jobs[job.id], self.legs[job.id] = job, 0
         self._send(job)
 
+    def attempt_written(self, job: int, now: int) -> None:
+        """A textbook policy counts from its decision."""
+
     def leg_ended(self, end: LegEnd, now: int) -> None:
         self.now = now
         self.out[end.node] = self.out.get(end.node, 1) - 1
--- a/ochrecourse/nodes/carrier.py
+++ b/ochrecourse/nodes/carrier.py
@@ -37,7 +37,11 @@
 
 
 class Taker(Protocol):
-    """Who waits for a leg. `began` comes before any `piece`; `ended` comes exactly once and last."""
+    """Who waits for an attempt. `written` comes when it has a connection, `began` before any `piece`;
+    `ended` comes exactly once and last.
+    """
+
+    def written(self, leg: LegOut) -> None: ...
 
     def began(self, leg: LegOut, answer: m.Done) -> None: ...
 
@@ -74,6 +78,8 @@
         self.heard_at = 0.0  # s, last byte of an answer that has begun
         self.timer: Timer | None = None
         self.wait: Timer | None = None  # until it no longer waits for a connection
+        self.write_before = 0  # ns; from then on it may not be written any more; 0: no such time
+        self.write_timer: Timer | None = None
 
     def handed(self) -> Written:
         """How much of it was handed to the network."""
@@ -149,10 +155,13 @@
         stall: int,
         taker: Taker,
         wait: int | None = None,
+        write_before: int = 0,
     ) -> LegOut:
-        """Sends a leg. `time_out`: ns from now until its answer must begin; `stall`: ns without any more of
-        it after that; `wait`: ns for which it may wait for a connection (None: as long as its dial may take).
-        Its end is told to `taker`, never before this returns.
+        """Sends an attempt. `time_out`: ns from now until its answer must begin; `stall`: ns without any more
+        of it after that; `wait`: ns for which it may wait for a connection (None: as long as its dial may
+        take); `write_before`: clock time from which on no byte of it may be handed to a connection, and
+        nothing of it may run that was not whole by then (0: no such time). Its end is told to `taker`, never
+        before this returns.
         """
         self.count += 1
         leg = LegOut(self.count, job, node, message, body, taker)
@@ -160,6 +169,10 @@
         self.out[leg.number] = leg
         leg.stall = max(0, stall) / SECOND
         leg.timer = self.clock.callLater(max(0, time_out) / SECOND, self._timed_out, leg)
+        leg.write_before = write_before
+        if write_before and write_before < leg.sent_at + time_out:
+            left = max(0, write_before - leg.sent_at) / SECOND
+            leg.write_timer = self.clock.callLater(left, self._too_late_to_write, leg)
         if self.address_of(node) is None:
             self.clock.callLater(0, self._end, leg, Seen.UNLISTED, None)
             return leg
@@ -232,6 +245,13 @@
         if link.line.state is State.OPEN and self.pool.leaving(link.line):
             link.bye()
 
+    def link_ending(self, link: Wire) -> None:
+        """This side is ending the connection: what would be written to it now is dropped unseen, so no
+        attempt may take it any more.
+        """
+        if link.line.state is State.OPEN:
+            self.pool.leaving(link.line)
+
     def link_freed(self, link: Wire, number: int) -> None:
         self._free(link.line, -1)
 
@@ -330,8 +350,21 @@
         """The leg has a connection with room for it."""
         stop(leg.wait)
         leg.wait = None
-        leg.line, leg.went_at = line, now_ns(self.clock)
+        now = now_ns(self.clock)
+        leg.line = line
+        if leg.write_before and now >= leg.write_before:
+            # Guards against a loop that stood still: the timer for this has not been called yet.
+            self.clock.callLater(0, self._end, leg, Seen.LEFT_BEFORE, None)
+            return
+        leg.went_at = now
         self.links[line.number].send(leg)
+        leg.taker.written(leg)
+
+    def _too_late_to_write(self, leg: LegOut) -> None:
+        """What the node does not have whole by now never runs."""
+        leg.write_timer = None
+        if not leg.over and leg.handed() is not Written.WHOLE:
+            self._abandon(leg, Seen.LEFT_BEFORE)
 
     def _relieve(self, line: Line) -> None:
         """Legs that wait for another connection to the same node go on this one, as far as it has room."""
@@ -370,7 +403,8 @@
         self.out.pop(leg.number, None)
         stop(leg.timer)
         stop(leg.wait)
-        leg.timer = leg.wait = None
+        stop(leg.write_timer)
+        leg.timer = leg.wait = leg.write_timer = None
         if leg.line is not None:
             self._free(leg.line, leg.number)
         leg.taker.ended(leg, seen, answer)
--- a/ochrecourse/resp/line.py
+++ b/ochrecourse/resp/line.py
@@ -18,7 +18,7 @@
 from ochrecourse.resp.codec import Breach, Replies
 from ochrecourse.resp.words import Asked, answer
 
-REST = 0.002  # s after an answer before its connection is used again; a second copy comes right behind it
+REST = 0.01  # s after an answer before its connection is used again; a second copy may come some ms late
 
 
 class RespLine(Protocol):
@@ -62,6 +62,7 @@
 
     def cut(self) -> None:
         if self.up:
+            self.client.link_ending(self)
             self.transport.abortConnection()
 
     # --- Twisted's calls ---
--- /dev/null
+++ b/tests/test_node_connections.py
@@ -0,0 +1,349 @@
+"""Attempts and the connections that carry them: what is written when, and what counts as sent.
+
+The crossings are forced: a connection comes up, breaks or is given up at the very moment that the test names.
+"""
+
+import pytest
+from conftest import START
+from test_service import FLAT, Shop, read, value
+from test_standing import Clerk, Nobody, Street, Wire
+
+from ochrecourse.decide import MS, SECOND
+from ochrecourse.gateway.gateway import Gateway, Request
+from ochrecourse.interface import Ending, Health, ListKind, NodeEntry
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.nodes.carrier import Carrier
+from ochrecourse.nodes.pool import PoolLimits
+from ochrecourse.nodes.proof import Close, Seen, Written
+from ochrecourse.resp import codec
+from ochrecourse.resp.line import RespLine
+from ochrecourse.resp.words import Kinds, asked
+from ochrecourse.standins.respnode import good
+from ochrecourse.wire import messages as m
+
+WINDOW = 400 * MS  # for repeats of the class below, shorter than its deadline and than a late dial
+
+
+class ShortWindow:
+    """A gateway with two storage nodes of one shard; connections come up when the test says so.
+
+    Its class `mark` is keyed within one cell and may be repeated for 400 ms.
+    """
+
+    def __init__(self):
+        self.network = VirtualNetwork(1)
+        self.dials, self.asker = [], Nobody()
+        values = {**FLAT, "Classes.1.Window": "400", "Classes.1.Aim": "900", "Classes.1.SerialByKey": "false"}
+        self.gateway = Gateway(
+            values, 7, self.network, lambda carrier, line, address: self.dials.append(line), "n0", decisions=Clerk,
+            limits=PoolLimits(legs=1, connections=9, dials=9, idle=10 * SECOND),
+        )  # fmt: skip
+        self.gateway.list_came(ListKind.FULL, [NodeEntry(7, 0, 0, Health.READY, 0)], {7: ("h", 1)})
+
+    def now(self):
+        return round(self.network.seconds() * SECOND)
+
+    def request(self):
+        self.gateway.take(
+            Request("mark", "p0", 5, 2 * SECOND, self.now(), key=9, shard=0, units=2.0), self.asker
+        )
+
+    def connect(self):
+        """The oldest dial that is under way comes up."""
+        line = next(line for line in self.dials if line.number in self.gateway.nodes.dials)
+        wire = self.gateway.nodes.links[line.number] = Wire(line)
+        self.gateway.nodes.link_open(wire)
+        return wire
+
+    def reset(self, wire):
+        self.gateway.nodes.link_closed(wire, list(self.gateway.nodes.out.values()), Close.BETWEEN)
+
+    def first_attempt_breaks(self):
+        self.request()
+        wire = self.connect()
+        assert len(wire.sent) == 1
+        self.reset(wire)
+        self.until_dialled(len(self.dials) + 1)
+
+    def until_dialled(self, count):
+        """Lets the pause before a further attempt pass."""
+        for _ in range(50):
+            if len(self.dials) >= count:
+                return
+            self.network.advance(0.01)
+        raise AssertionError("no further attempt")
+
+
+def test_a_repeat_that_waits_for_its_connection_is_not_written_after_its_window():
+    """Guards against an effect that happens twice: the repeat was decided in its window and written behind it."""
+    world = ShortWindow()
+    world.first_attempt_breaks()
+    world.network.advance(0.4)
+    assert world.asker.answers == ["written_off"]
+    assert world.connect().sent == []
+
+
+def test_a_repeat_is_written_up_to_the_end_of_its_window():
+    world = ShortWindow()
+    started = world.now()
+    world.first_attempt_breaks()
+    world.network.advance((started + WINDOW - world.now()) / SECOND - 0.006)  # less what decisions keep back, and a ms
+    assert len(world.connect().sent) == 1
+
+
+def test_a_connection_that_comes_up_in_a_late_turn_takes_no_repeat_whose_window_has_passed():
+    """Guards against a loop that stood still: the connection is seen before the timer that ends the wait."""
+    world = ShortWindow()
+    world.first_attempt_breaks()
+    world.network.now += 0.5  # no timer was called meanwhile
+    assert world.connect().sent == []
+    world.network.advance(0)
+    assert world.asker.answers == ["written_off"]
+
+
+def test_a_connection_that_another_attempt_leaves_takes_no_repeat_whose_window_has_passed():
+    """Guards against the other way to a connection: one that becomes free."""
+    world = ShortWindow()
+    world.request()
+    first = world.connect()
+    busy = world.gateway.nodes.out[1]
+    world.request()
+    second = world.connect()
+    world.gateway.nodes.link_closed(second, [world.gateway.nodes.out[2]], Close.BETWEEN)
+    world.gateway.host.nodes[7].window = 8.0  # a second request has room beside the first
+    world.until_dialled(3)
+    world.network.now += 0.5
+    busy.line = None
+    world.gateway.nodes.answered(first, busy, m.Done(id=0, size=0, body=0), b"", True)
+    world.gateway.nodes.link_freed(first, -1)
+    assert first.sent == [1]
+
+
+def test_the_window_counts_from_the_writing_of_the_attempt_that_may_have_run():
+    """Guards against a window that a late connection of the first attempt has used up before it began."""
+    world = ShortWindow()
+    world.request()
+    world.network.advance(0.3)
+    wire = world.connect()
+    written = world.now()
+    world.reset(wire)
+    held = next(iter(world.gateway.host.jobs.values()))
+    assert held.ran[0] == written
+
+
+def test_a_body_that_is_not_whole_at_the_latest_time_is_given_up_and_proves_that_nothing_ran():
+    """Guards against the last byte of a long body behind the window: the node begins with that byte."""
+    street = Street()
+    now = round(street.network.seconds() * SECOND)
+    message = m.LegSent(
+        id=0, mark="", product="read", volume=1, key=1, units=1.0, shard=0, number=0, write=True, effect="keyed",
+        window_ms=0.0, patience_ms=1.0, size=99,
+    )  # fmt: skip
+    leg = street.carrier.send(1, 7, message, None, 2 * SECOND, SECOND, street, None, now + 100 * MS)
+    street.came(street.dialled[0])
+    leg.written = 50
+    assert leg.handed() is Written.PART
+    street.network.advance(0.11)
+    assert street.ends == [(1, Seen.LEFT_BEFORE)] and leg.link.ended
+
+
+def test_an_attempt_that_was_written_in_time_is_not_ended_by_its_latest_time():
+    street = Street()
+    now = round(street.network.seconds() * SECOND)
+    leg = street.send(1)
+    other = street.carrier.send(2, 7, leg.message, None, 2 * SECOND, SECOND, street, None, now + 100 * MS)
+    for line in list(street.dialled):
+        street.came(line)
+    street.network.advance(0.2)
+    assert street.ends == [] and other.handed() is Written.WHOLE
+
+
+# --- connections that speak the platform's protocol ---
+
+
+class Pipe:
+    """A transport that keeps what is written and ends in the next turn, as an aborted one does."""
+
+    def __init__(self, network, link):
+        self.network, self.link = network, link
+        self.written, self.aborted = b"", False
+
+    def write(self, data):
+        if not self.aborted:
+            self.written += data
+
+    def abortConnection(self):
+        if not self.aborted:
+            self.aborted = True
+            self.network.callLater(0, self.link.connectionLost)
+
+    loseConnection = abortConnection
+
+
+class Lines:
+    """A carrier of RESP2 connections that come up when the test says so."""
+
+    def __init__(self):
+        self.network = VirtualNetwork(1)
+        self.dials, self.ends, self.answers = [], [], []
+        limits = PoolLimits(legs=1, connections=9, dials=9, idle=10 * SECOND)
+        self.carrier = Carrier("n0", self.network, limits, 0.25, lambda node: ("h", node), self.open)
+
+    def open(self, carrier, line, address):
+        self.dials.append(line)
+
+    def connect(self):
+        line = self.dials[-1]
+        link = self.carrier.links[line.number] = RespLine(self.carrier, line)
+        link.transport = Pipe(self.network, link)
+        link.connectionMade()
+        return link
+
+    def send(self, number, patience=2 * SECOND):
+        reader = codec.Commands()
+        reader.feed(read(number))
+        body = asked(reader.next(), Kinds(FLAT), 0).body
+        message = m.LegSent(
+            id=0, mark="", product="read", volume=1, key=1, units=1.0, shard=0, number=0, write=False, effect="safe",
+            window_ms=0.0, patience_ms=patience / MS, size=0,
+        )  # fmt: skip
+        return self.carrier.send(number, 7, message, body, patience, SECOND, self, patience)
+
+    def written(self, leg):
+        """Told of every attempt that has a connection."""
+
+    def began(self, leg, answer):
+        """Told of every answer."""
+
+    def piece(self, leg, data):
+        self.answers.append((leg.job, data))
+
+    def ended(self, leg, seen, answer):
+        self.ends.append((leg.job, seen))
+
+
+@pytest.mark.parametrize("waited", [0.0, 0.2, 1.2])
+def test_the_time_told_to_a_node_is_what_is_left_when_the_request_is_written(waited):
+    """Guards against a node that works on for a client whose time was spent on a connection that came up late."""
+    lines = Lines()
+    lines.send(1)
+    lines.network.advance(waited)
+    told = lines.connect().transport.written.partition(b",d=")[2].partition(b",")[0]
+    assert int(told) == pytest.approx(2000 - waited * 1000, abs=1)
+
+
+@pytest.mark.parametrize("noise", [b"*1\r\n$1\r\nx\r\n", b"$3\r"])
+def test_nothing_is_written_to_a_connection_that_this_side_is_ending(noise):
+    """Guards against an attempt that is dropped unseen, taken for sent, and then for one that may have run."""
+    lines = Lines()
+    lines.send(1)
+    link = lines.connect()
+    link.dataReceived(b"*1\r\n$1\r\nv\r\n")
+    lines.network.advance(0.1)
+    link.dataReceived(noise)  # nobody waits for it: the connection ends, and is gone in the next turn
+    lines.send(2)
+    assert len(lines.dials) == 2
+    lines.connect()
+    lines.network.advance(0.1)
+    assert [job for job, _ in lines.ends] == [1]
+
+
+def test_an_attempt_that_waits_takes_no_connection_that_this_side_is_ending():
+    """Guards against the same by the way of an attempt that waits for its dial."""
+    lines = Lines()
+    lines.send(1)
+    link = lines.connect()
+    lines.send(2)
+    link.dataReceived(b"*1\r\n$1\r\nv\r\n$3\r")
+    assert [job for job, _ in lines.ends] == [1]
+    lines.network.advance(0.01)
+    assert [job for job, _ in lines.ends] == [1] and link.transport.written.count(b"BLK.READ") == 1
+
+
+def test_a_given_up_attempt_leaves_a_connection_that_carries_no_other():
+    lines = Lines()
+    first = lines.send(1)
+    link = lines.connect()
+    lines.carrier.cancel(first)
+    lines.send(2)
+    assert len(lines.dials) == 2 and link.transport.written.count(b"BLK.READ") == 1
+
+
+@pytest.mark.parametrize("late", [0.001, 0.004, 0.008])
+def test_a_second_answer_that_comes_late_is_not_the_next_request_s(late):
+    """Guards against serving a request with what was made for the one before it on the connection."""
+    shop = Shop()
+    client = shop.client()
+
+    def twice(words):
+        peer = shop.node.peers[-1]
+        shop.node.reply = lambda words: None
+        shop.network.callLater(late, peer.transport.write, good(words))
+        return good(words)
+
+    shop.node.reply = twice
+    client.say(read(1) + read(2))
+    shop.run(0.05)
+    assert len(shop.node.commands) == 2 and client.got == value(1)
+
+
+@pytest.mark.parametrize("late", [0.001, 0.004, 0.008])
+def test_a_connection_on_which_an_answer_came_twice_carries_no_other_request(late):
+    """Guards against the same where the next request comes a moment after the answer."""
+    shop = Shop()
+    client = shop.client()
+    peers = []
+
+    def twice(words):
+        peers.append(shop.node.peers[-1])
+        shop.node.reply = lambda words: None
+        shop.network.callLater(late, peers[0].transport.write, good(words))
+        return good(words)
+
+    shop.node.reply = twice
+    client.say(read(1))
+    for _ in range(100):
+        if client.got:
+            break
+        shop.run(0.0002)
+    shop.run(max(0.0, late - 0.002))  # so that it is read before the second answer comes
+    client.say(read(2))
+    shop.run(0.05)
+    assert client.got == value(1) and len(shop.node.commands) == 2 and shop.node.lost == 1
+
+
+# --- what lies between a decision and its writing ---
+
+
+def test_what_is_drawn_from_a_limit_and_waits_for_its_connection_leaves_no_room_to_fill(make_desk):
+    """Guards against a limit that is passed when late connections come up together: until a request is written its
+    units still lie in the nodes' store, which holds no more than its depth."""
+    desk = make_desk()
+    rested = START + 20 * SECOND  # the gateway's part is 5 units a second and 20 at most
+    patience = 60 * SECOND
+    late = desk.take(rested, plan=1, units=8.0, patience=patience, shard=0)
+    assert [said.job for said in desk.pull(rested)] == [late]
+    after = rested + 10 * SECOND
+    volume = desk.host.volumes[1]
+    volume.refill(after)
+    assert volume.store == pytest.approx(12.0)
+    desk.host.attempt_written(late, after)
+    volume.refill(after + SECOND)
+    assert volume.store == pytest.approx(17.0)
+
+
+@pytest.mark.parametrize("ending", [Ending.UNREACHABLE, Ending.FULL])
+def test_what_is_drawn_is_let_go_with_its_request(make_desk, ending):
+    """Guards against room that is lost for good with a request that was never written, or was turned away."""
+    desk = make_desk(Limits__MaxAttempts="1")
+    rested = START + 20 * SECOND
+    desk.take(rested, plan=1, units=8.0)
+    leg = desk.pull(rested)[0]
+    if ending is Ending.FULL:
+        desk.host.attempt_written(leg.job, rested)
+    desk.end(leg, rested + MS, ending)
+    desk.pull(rested + MS)
+    volume = desk.host.volumes[1]
+    assert volume.unwritten == 0.0
+    volume.refill(rested + 30 * SECOND)
+    assert volume.store == pytest.approx(20.0)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -85,6 +85,9 @@
         self.carrier.answered(leg.link, leg, m.Done(id=0, size=0, body=0), b"", True)
         self.carrier.link_freed(leg.link, -1)
 
+    def written(self, leg):
+        """Told of every attempt that has a connection."""
+
     def began(self, leg, answer):
         """Told of every answer."""
 
