HTTP client: interim answers, trailers, bodies without a length, lengths below zero

Seen: a watch whose answer came behind a 102 or 103, with "Chunked" in capitals, with no length (HTTP/1.0 too) or with trailers was taken as over at its head, or broken off. A length below zero was read as a slice from the end. Guilty: Talk._headers_whole (status 100 alone, a case-sensitive comparison, no length read as no body), Talk._chunk (a trailer read as a chunk's length). A body without a length is read to the connection's end only where the caller takes it as it comes; others as before.

--- a/ochrecourse/wire/talk.py
+++ b/ochrecourse/wire/talk.py
@@ -15,6 +15,14 @@
 KEPT_BODY = 1 << 16  # bytes of a body that are kept beside its digest
 
 
+def _size(text: str, base: int) -> int:
+    """A length as it is told. Raises ValueError, for one below zero too."""
+    size = int(text, base)
+    if size < 0:
+        raise ValueError(f"a length below zero: {size}")
+    return size
+
+
 @dataclass(slots=True)
 class Answer:
     """A response. `whole`: its body had the length that was told."""
@@ -26,6 +34,11 @@
     body: bytes = b""
     whole: bool = False
 
+    @property
+    def interim(self) -> bool:
+        """Whether the final response follows."""
+        return 100 <= self.status < 200 and self.status != 101
+
 
 class Talk(LineReceiver):
     """One connection. `then` hears of each answer, or of None if the connection ended before any came."""
@@ -42,6 +55,7 @@
         self.method = ""
         self.left = 0
         self.chunked = False
+        self.unbounded = False  # the body lasts until the connection ends
         self.in_chunks = False
         self.hash = hashlib.sha256()
         self.lost = False
@@ -86,26 +100,30 @@
     def _headers_whole(self) -> None:
         answer = self.answer
         assert answer is not None
-        if answer.status == 100:
+        if answer.interim:
             self.answer = None
             return
-        self.chunked = "chunked" in answer.headers.get("transfer-encoding", "")
-        self.left = int(answer.headers.get("content-length", 0))
+        self.chunked = "chunked" in answer.headers.get("transfer-encoding", "").lower()
+        self.left = _size(answer.headers.get("content-length", "0"), 10)
+        # Whoever takes the body as it comes takes one without a length too; others have none then.
+        self.unbounded = self.piece is not None and "content-length" not in answer.headers
         if self.method == "HEAD" or answer.status in (204, 304):
-            self.left, self.chunked = 0, False
+            self.left, self.chunked, self.unbounded = 0, False, False
         if self.chunked:
             self.in_chunks = True
-        elif self.left:
+        elif self.left or self.unbounded:
             self.setRawMode()
         else:
             self._whole()
 
     def _chunk(self, line: bytes) -> None:
-        if not line:
-            if self.left < 0:
+        if self.left < 0:  # behind the last chunk: trailers, then an empty line
+            if not line:
                 self._whole()
             return
-        self.left = int(line.split(b";")[0], 16)
+        if not line:
+            return
+        self.left = _size(line.split(b";")[0].decode("latin-1"), 16)
         if self.left:
             self.setRawMode()
         else:
@@ -113,15 +131,16 @@
 
     def rawDataReceived(self, data: bytes) -> None:
         assert self.answer is not None
-        mine, rest = data[: self.left], data[self.left :]
-        self.left -= len(mine)
+        bounded = self.chunked or not self.unbounded
+        mine, rest = (data[: self.left], data[self.left :]) if bounded else (data, b"")
+        self.left -= len(mine) if bounded else 0
         self.answer.size += len(mine)
         if self.piece is not None and mine:
             self.piece(mine)
         self.hash.update(mine)
         if len(self.answer.body) < KEPT_BODY:
             self.answer.body += mine[: KEPT_BODY - len(self.answer.body)]
-        if self.left:
+        if self.left or not bounded:
             return
         if self.chunked:
             self.setLineMode(rest)
