List: a second watch beside a silent one, whole lines as signs of life, versions compared

A second fault came up on the way, in the drawn orders: a first line that tells what changed after the version asked for was laid upon a list that another watch had moved on, and a node that came and went in between stayed for ever.

--- a/ochrecourse/relay/discovery.py
+++ b/ochrecourse/relay/discovery.py
@@ -32,6 +32,11 @@
         self._text = bytearray()
         self._indent = self._open = 0  # blanks before its first line; braces that are not closed
 
+    @property
+    def within(self) -> bool:
+        """Whether an object has begun that is not whole."""
+        return bool(self._text)
+
     def take(self, line: bytes) -> Any:
         """The object that this line ends, read, or None. Raises BadNews if no more lines can make it one."""
         bare = line.strip()
@@ -85,23 +90,31 @@
         self.version = 0
         self.numbers: dict[str, int] = {}
         self.listed: dict[str, NodeEntry] = {}
+        self.told: dict[str, Any] = {}  # what is listed, as it was told
         self.gone: dict[str, None] = {}  # longest first
         self.count = 0
 
-    def take(self, told: Any, cached: bool = False) -> News:
-        """A list or its changes; `cached`: as it was held before this start. Raises BadNews."""
+    @staticmethod
+    def version_of(told: Any) -> int:
+        """The version of a list or change. Raises BadNews."""
         if not isinstance(told, dict) or not isinstance(told.get("instances"), list):
             raise BadNews("a line of the list names no nodes")
         version = told.get("generation")
         if not isinstance(version, int) or isinstance(version, bool):
             raise BadNews("a line of the list has no version")
+        return version
+
+    def take(self, told: Any, cached: bool = False) -> News:
+        """A list or its changes, whatever their version; `cached`: as it was held before this start. Raises
+        BadNews."""
+        version = self.version_of(told)
         whole = cached or told.get("reset") is True
-        read = [self._read(each) for each in told["instances"]]
+        read = self.read(told)
         entries, addresses = [], {}
         if whole:
             for name in self.listed.keys() - {name for name, _, _ in read}:
                 self._forget(name)
-        for name, entry, address in read:
+        for (name, entry, address), text in zip(read, told["instances"], strict=True):
             if name not in self.numbers:
                 self.count += 1
                 self.numbers[name] = self.count
@@ -111,6 +124,7 @@
             else:
                 self.gone.pop(name, None)
                 self.listed[name] = entry
+                self.told[name] = text
                 addresses[entry.node] = address
             entries.append(entry)
         self.version = version
@@ -119,12 +133,17 @@
 
     def _forget(self, name: str) -> None:
         self.listed.pop(name, None)
+        self.told.pop(name, None)
         self.gone.pop(name, None)
         self.gone[name] = None
         while len(self.gone) > KEPT_GONE:
             oldest = next(iter(self.gone))
             del self.gone[oldest], self.numbers[oldest]
 
+    def read(self, told: Any) -> list[tuple[str, NodeEntry, tuple[str, int]]]:
+        """The nodes of a list or change: name, entry without a number, address. Raises BadNews."""
+        return [self._read(each) for each in told["instances"]]
+
     def _read(self, told: Any) -> tuple[str, NodeEntry, tuple[str, int]]:
         if not isinstance(told, dict) or not isinstance(told.get("instanceId"), str):
             raise BadNews("a node without a name")
@@ -143,3 +162,47 @@
         begun = max(1, round(started * MS) - self.unix_ahead) if started else 0
         address = (host.strip("[]"), int(port)) if good else ("", 0)
         return name, NodeEntry(0, zone, shard, health, begun), address
+
+
+class Following:
+    """What one watch has told: the list as of its last line. Several may speak for a while, and a line of one
+    may come after a newer line of another. So:
+
+    - A change (`reset` false) is taken if its version is higher than the one held; else it is old, or is here
+      already. Where another watch has moved the list on since this one's last line (for its first line: since
+      it was asked), a change need not name nodes that came and went meanwhile; then the whole list is taken
+      as this watch has told it.
+    - A whole list (`reset` true) of the watch that leads, the newest that speaks at the address that counts,
+      is taken whatever its version: with a lower one it is the list of an agent that numbers anew, or that
+      knows less than the start file did; what the agent has is what counts. Its version is held from then on.
+      Whoever follows several watches ends the others then: their versions can't be compared with it.
+    - A whole list of any other watch is taken if its version is higher than the one held.
+    """
+
+    def __init__(self, book: Book) -> None:
+        """A watch that is asked for what changed after the list held now."""
+        self.book = book
+        self.version = book.version
+        self.nodes = dict(book.told)
+
+    def take(self, told: Any, leads: bool) -> News | None:
+        """A line of the watch; None if it is old. `leads`: no newer watch speaks. Raises BadNews."""
+        version = self.book.version_of(told)
+        names = [name for name, _, _ in self.book.read(told)]
+        whole = told.get("reset") is True
+        if not whole and version <= self.version:
+            return None
+        moved = self.version != self.book.version
+        if whole:
+            self.nodes.clear()
+        self.version = version
+        for name, each in zip(names, told["instances"], strict=True):
+            if each["lifecycle"] == "Gone":
+                self.nodes.pop(name, None)
+            else:
+                self.nodes[name] = each
+        if version <= self.book.version and not (leads and whole):
+            return None
+        if moved and not whole:
+            told = {"generation": version, "reset": True, "instances": list(self.nodes.values())}
+        return self.book.take(told)
