Tests of the list: an address taken again, lines inside an object, a line without end

A trial on a scratch copy showed that three guards could be taken out with no test red: the rank of the address that counts (Watch._rank), that lines inside an unfinished object put no attempt off (Watch.line), and the bound on a line that comes steadily (_Conversation._wait). Each has a test now; each was tried without its guard and was red.

--- a/tests/test_list_watch.py
+++ b/tests/test_list_watch.py
@@ -14,7 +14,7 @@
 from ochrecourse.lab.virtual import VirtualNetwork, Way
 from ochrecourse.relay import watch as watch_module
 from ochrecourse.relay.discovery import BadNews, Book, Following
-from ochrecourse.relay.watch import MOST_ATTEMPTS, MOST_WARNINGS, Watch, _Conversation
+from ochrecourse.relay.watch import LINE_TIME, MOST_ATTEMPTS, MOST_WARNINGS, Watch, _Conversation
 
 IN_TIME = 5.0  # s of the 6 s that a change may take; the rest is for what a busy machine adds
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -572,6 +572,55 @@
     assert len(agent.conversations) == 1
 
 
+def test_lines_inside_an_object_do_not_put_off_the_next_attempt():
+    rig = Rig()
+    rig.network.advance(0.5)
+    asked, told = len(rig.agent.asked), rig.agent.conversations[0]
+    rig.agent.fall_silent()
+    told.transport.write(chunk(b"{\n"))
+    for i in range(10):
+        rig.agent.later(0.4 * i, lambda: told.closed or told.transport.write(chunk(b' "a":\n')))
+    rig.network.advance(3.5)
+    assert len(rig.agent.asked) == asked + 1
+
+
+def test_a_line_that_comes_steadily_but_never_ends_is_given_up():
+    rig = Rig()
+    rig.agent.fall_silent()
+    told = rig.agent.conversations[0]
+    rig.watch.again.cancel()  # nothing is begun beside it
+
+    def flow():
+        if not told.closed:
+            told.transport.write(chunk(b"x" * 600))
+            rig.agent.later(0.5, flow)
+
+    flow()
+    rig.network.advance(LINE_TIME - 1.0)
+    assert not told.closed
+    rig.network.advance(1.5)
+    assert told.closed
+
+
+def test_a_watch_at_an_address_left_and_taken_again_leads_over_the_newer_one_between():
+    """Guards against an agent that does not count any more and ends the watch on the one that does."""
+    rig = Rig(other_base=0)
+    rig.change()
+    rig.agents[1].learn()
+    rig.agents[0].learn()
+    rig.network.advance(0.1)
+    first = rig.agents[0].conversations[0]
+    rig.move(1)
+    rig.agents[0].mode = "mute"  # it answers no new watch
+    rig.network.advance(0.0004)
+    rig.move(0)
+    rig.network.advance(0.5)
+    assert not first.closed and rig.book.version == 1001
+    first.say(line(1002, entry("s-1", DRAINING, 9)))
+    rig.network.advance(0.1)
+    assert rig.book.version == 1002
+
+
 # --- forms of an answer ---
 
 TWO = line(1001, entry("s-0", DRAINING, 3)) + line(1002, entry("s-1", DRAINING, 4))
