--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -287,6 +287,17 @@
             task.answer_left = 0
             self.nodes.cancel(task.leg)
 
+    def leave_all(self, jobs: Sequence[int]) -> None:
+        """The client of several jobs no longer waits: none of them takes the place of another that it left.
+        """
+        pulling, self._pulling = self._pulling, True
+        try:
+            for job in jobs:
+                self.leave(job)
+        finally:
+            self._pulling = pulling
+        self._pull()
+
     def room(self, job: int, size: int) -> None:
         """The client took so many more bytes of its answer."""
         if self.copies is None or not self.copies.room(job, size):
--- a/ochrecourse/lab/virtual.py
+++ b/ochrecourse/lab/virtual.py
@@ -8,6 +8,10 @@
 Hosts can be named (`VirtualNetwork.host`); then the way from one to another can be cut, lose, repeat or hold
 up whole writes, in one direction or both, and a host can stand still as a stopped process does. Parts that
 are given the network itself have no name, and nothing of this touches them.
+
+With `tcp` set, connections end as TCP's do: an end is read behind the bytes before it, and not by one who has
+paused reading; a close over bytes that were not read, or that still come, resets the connection and takes
+with it what the other end has not read. Without it a close waits for what is on its way and is told at once.
 """
 
 from __future__ import annotations
@@ -21,7 +25,7 @@
 
 from twisted.internet import error
 from twisted.internet.address import IPv4Address
-from twisted.internet.interfaces import IPushProducer, ITransport
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer, ITransport
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -101,6 +105,7 @@
         self.faults = random.Random(f"{seed} faults")  # apart, so that a fault moves no other draw
         self.waiting: dict[tuple[str, str], list[Callable[[], None]]] = {}  # until a cut way is mended
         self.meter: Callable[[str, str, int], None] | None = None  # hears of writes of named hosts
+        self.tcp = False  # connections end as TCP's do
 
     # --- named hosts ---
 
@@ -298,11 +303,14 @@
         self.producer: Any = None
         self.producer_paused = False
         self.frozen = False  # this end's process stands still: nothing is read, as with a stopped process
+        self.shut = False  # this end's sending side is shut, behind what is on its way
+        self.end_told = False  # and the other end has read that
+        self.reset = False  # a reset came, which an end that does not read has not noticed
 
     # --- writing ---
 
     def write(self, data: bytes) -> None:
-        if self.lost or self.disconnecting or not data:
+        if self.lost or self.disconnecting or self.shut or not data:
             return
         if self.home is not None and not self._goes(data):
             return
@@ -320,13 +328,20 @@
     def loseConnection(self, reason: Any = None) -> None:
         if not self.lost and not self.disconnecting:
             self.disconnecting = True
-            if not self.on_way:
+            if not self.on_way or (self.network.tcp and self.on_way_size <= HIGH):
                 self._close()
 
+    def loseWriteConnection(self) -> None:
+        """Ends the sending side; the other end reads that behind what is on its way."""
+        if not self.lost and not self.disconnecting and not self.shut:
+            self.shut = True
+            if not self.on_way:
+                self._send()
+
     def abortConnection(self) -> None:
         if not self.lost:
             self.on_way.clear()
-            self._close()
+            self._close(reset=True)
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         self.producer = producer
@@ -341,7 +356,9 @@
 
     def resumeProducing(self) -> None:
         self.paused = False
-        if self.peer is not None and self.peer.on_way:
+        if self.reset:
+            self.network.later(self.home, 0, self._was_reset)
+        elif self.peer is not None and (self.peer.on_way or self.peer._end_due()):
             self.peer._send()
 
     def stopProducing(self) -> None:
@@ -407,7 +424,13 @@
 
     def _arrive(self) -> None:
         peer = self.peer
-        if peer is None or peer.lost or not self.on_way or peer.paused or peer.frozen:
+        if peer is None or not (self.on_way or self._end_due()):
+            return
+        if peer.lost and self.network.tcp and self.on_way:
+            # What comes in at a socket that is closed is answered with a reset.
+            self.on_way.clear()
+            self.network.later(self.home, self.network.delay(), self._was_reset)
+        if peer.lost or peer.paused or peer.frozen:
             return
         if peer.protocol is None:  # not accepted yet
             return
@@ -419,6 +442,10 @@
         if peer.home is not None and peer.home.still:
             self.network.later(peer.home, 0, self._arrive)
             return
+        if not self.on_way:
+            self.end_told = True
+            peer._read_end()
+            return
         data = b"".join(self.on_way)
         self.on_way.clear()
         self.on_way_size = 0
@@ -428,6 +455,46 @@
         peer.protocol.dataReceived(data)
         if self.disconnecting and not self.on_way and not self.lost:
             self._close()
+        elif not self.on_way and self._end_due():
+            self._send()
+
+    def _end_due(self) -> bool:
+        """Whether this end's sending side is shut and the other end has not read that."""
+        return self.shut and not self.end_told
+
+    def _read_end(self) -> None:
+        """The other end's sending side is shut, which ends this side too unless it can go on alone."""
+        if self.lost:
+            return
+        half: Any = IHalfCloseableProtocol(self.protocol, None)
+        if half is not None:
+            half.readConnectionLost()
+            return
+        self.lost = True
+        if self.network.tcp:
+            self._shut_behind()
+        else:
+            self.on_way.clear()
+            if self.peer is not None:
+                self.network.later(self.peer.home, self.network.delay(), self.peer._peer_closed)
+        self.protocol.connectionLost(Failure(error.ConnectionDone()))
+
+    def _shut_behind(self) -> None:
+        """The end of this side goes behind what is on its way."""
+        self.shut = True
+        if not self.on_way and not self.end_told:
+            self._send()
+
+    def _was_reset(self) -> None:
+        if self.lost:
+            return
+        if self.paused:
+            self.reset = True
+            return
+        self.lost = True
+        self.on_way.clear()
+        if self.protocol is not None:
+            self.protocol.connectionLost(Failure(error.ConnectionLost()))
 
     def _broken(self) -> None:
         """Its way was cut while something was on it, which is lost: both ends hear of that now."""
@@ -443,16 +510,28 @@
         if self.producer is not None and not self.lost and not self.producer_paused:
             self.producer.resumeProducing()
 
-    def _close(self) -> None:
+    def _close(self, reset: bool = False) -> None:
         if self.lost:
             return
         self.lost = True
         if self.protocol is not None:
             done = Failure(error.ConnectionDone())
             self.network.later(self.home, 0, self.protocol.connectionLost, done)
-        if self.peer is not None and not self.peer.lost:
+        if self.network.tcp:
+            self._close_as_tcp(reset)
+        elif self.peer is not None and not self.peer.lost:
             self.network.later(self.peer.home, self.network.delay(), self.peer._peer_closed)
 
+    def _close_as_tcp(self, reset: bool) -> None:
+        if self.peer is None or self.peer.lost:
+            return
+        if reset or self.peer.on_way:
+            self.on_way.clear()
+            self.peer.on_way.clear()
+            self.network.later(self.peer.home, self.network.delay(), self.peer._was_reset)
+        else:
+            self._shut_behind()
+
     def _peer_closed(self) -> None:
         if self.lost:
             return
