After a long turn of the loop, ends that stand unread are known before anything is sent

Seen (tests on real sockets, a loop turned step by step): the loop stood still past a request's next attempt while its client's end came in. A loop calls its timers before it reads, so Gateway._woke pulled the decisions and the attempt began for a client that had gone; the same when a node's answer is read before the end in a turn that takes long.

Gateway._woke knows when it comes late. It now waits for two turns of the loop (one reads a connection's bytes, the next the end behind them), and reports that come meanwhile wait too; _pull leaves it to a timer that is overdue.

Excluded: pulling decisions once a turn in every case, which would change every front's order of calls.

Tried without it: test_after_a_long_turn_the_ends_that_stand_unread_are_known_before_anything_is_sent and test_an_answer_that_is_read_before_the_end_of_a_client_in_a_long_turn_sends_nothing_of_it_on fail.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -18,7 +18,7 @@
 from typing import Protocol
 
 from ochrecourse.decide import Host
-from ochrecourse.gateway.lateness import Lateness
+from ochrecourse.gateway.lateness import TRIFLE, Lateness
 from ochrecourse.gateway.leaving import Leaving, Stage
 from ochrecourse.gateway.ledger import Closing, JobStory, Ledger, LegStory
 from ochrecourse.interface import Answer, Decisions, Health, Job, Leg, LegEnd, ListCall, ListKind
@@ -29,6 +29,7 @@
 from ochrecourse.nodes.reach import Reach
 from ochrecourse.outside import MS, SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
+TURNS_BEHIND = 2  # of the loop: one reads a connection's bytes, the next the end that stands behind them
 SLOW_DIAL = 0.1  # of the shortest promised time, after which a dial is slow; leaves time for a second one
 
 
@@ -189,6 +190,7 @@
         self.last = 0  # ns; every job taken from now on must have its answer by then; 0: no such time
         self._count = 0
         self._pulling = False
+        self._catching_up = 0  # turns of the loop until what stood unread when a timer came late is known
         self._timer: Timer | None = None
         self._due = 0
 
@@ -402,7 +404,7 @@
 
     def _pull(self) -> None:
         """Carries out decisions until there are none; reports made meanwhile are seen by the same loop."""
-        if self._pulling or self.leaving.stage is Stage.LEFT:
+        if self._pulling or self._catching_up or self._overdue() or self.leaving.stage is Stage.LEFT:
             return
         self._pulling = True
         try:
@@ -424,12 +426,29 @@
             self._due = max(due, now)
             self._timer = self.clock.callLater((self._due - now) / SECOND, self._woke)
 
+    def _overdue(self) -> bool:
+        """Whether the loop's turn took so long that the timer is late, which then sees to what is unread."""
+        return self._timer is not None and now_ns(self.clock) - self._due > TRIFLE
+
     def _woke(self) -> None:
         self._timer = None
         if self.lateness.timer_came(self._due, now_ns(self.clock)):
-            self.clock.callLater(0, self.lateness.turned)
+            # A loop calls its timers before it reads. What stands unread after a long turn is reported first:
+            # a request whose client has closed by now must not be sent on.
+            self._catching_up = TURNS_BEHIND
+            self.clock.callLater(0, self._turned)
+            return
         self._pull()
 
+    def _turned(self) -> None:
+        """The loop has read once more since a timer came late."""
+        self.lateness.turned()
+        self._catching_up -= 1
+        if self._catching_up:
+            self.clock.callLater(0, self._turned)
+        else:
+            self._pull()
+
     def _send(self, said: Leg, now: int) -> None:
         story = self.ledger.send(said.job, said.number, said.node, now)
         if story is None:
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -352,6 +352,55 @@
 # --- attempts after a client's end ---
 
 
+def test_after_a_long_turn_the_ends_that_stand_unread_are_known_before_anything_is_sent(shop):
+    """Guards against a further attempt at its due time, since a loop calls its timers before it reads."""
+    here = shop(lambda words: b"-ERR failed\r\n")
+    client, side = here.client()
+    here.say(client, read(1, d=60_000))
+    here.loop.until(lambda: len(here.node.commands) == 1)
+    here.loop.settle()
+    assert here.open == 1 and here.service.gateway.ledger.legs == 1
+    client.sendall(PING)  # the end stands behind bytes, so one turn does not bring it
+    client.close()
+    end_stands(side)
+    here.loop.now += 0.1  # more than the further attempt waits, and less than it needs to be in time
+    here.loop.settle()
+    assert not here.open and here.service.gateway.ledger.legs == 1 and len(here.node.commands) == 1
+
+
+def test_an_answer_that_is_read_before_the_end_of_a_client_in_a_long_turn_sends_nothing_of_it_on(shop):
+    """Guards against ends that are read behind other things in a turn that began late."""
+    here = shop(lambda words: b"-ERR failed\r\n" if words[2] == b"%016x" % 1 else None)
+    client, side = here.client()
+    other, _ = here.client()
+    here.say(other, read(2, d=60_000))
+    here.loop.until(lambda: len(here.node.commands) == 1)
+    here.say(client, read(1, d=60_000))
+    here.loop.until(lambda: len(here.node.commands) == 2)
+    here.loop.settle()
+    assert here.service.gateway.ledger.legs == 2
+    client.close()
+    end_stands(side)
+    here.loop.now += 0.1
+    # As in a turn that took long before it came to the node's answer, and has not come to the end so far.
+    here.service.gateway._pull()
+    assert here.service.gateway.ledger.legs == 2
+    here.loop.settle()
+    assert here.service.gateway.ledger.legs == 2 and here.open == 1
+
+
+def test_a_long_turn_keeps_back_nothing_of_clients_that_stay(shop):
+    here = shop(lambda words: b"-ERR failed\r\n" if len(here.node.commands) == 1 else good(words))
+    client, _ = here.client()
+    here.say(client, read(1, d=60_000))
+    here.loop.until(lambda: len(here.node.commands) == 1)
+    here.loop.settle()
+    here.loop.now += 0.05
+    here.loop.until(lambda: not here.open)
+    here.loop.settle()
+    assert readable(client) == value(1)
+
+
 @pytest.mark.parametrize("end", [b"-ERR failed\r\n", b"-BUSY\r\n", b"nonsense\r\n", None])
 def test_an_attempt_that_went_whole_before_its_client_left_leads_to_no_further_one(end):
     shop = Shop(reply=lambda words: None)
