Clients as a state machine on the virtual network, and six mistakes that it must find

Clients connect, pipeline, send halves and nonsense, pause reading, shut, close, reset and send much and go; nodes answer, hang, fail and refuse; the gateway makes room under bytes on their way, and leaves. An oracle that sees what clients and nodes see wants one whole answer for each request, unless its client left or it crossed the shutdown, no attempt more than 0.1 s after its client's end, nothing sent on from behind a shutdown or a mistake, no reset by this side, and the end before the kill. 150 plays, derandomized.

Each mistake is made on purpose and is found (test_a_mistake_made_on_purpose_is_found): reading paused at the limit of open requests, a plain close in place of the lingering one, no leave for what waits, bytes taken from behind the shutdown, from behind a mistake, and closes that wait for ever.

--- /dev/null
+++ b/tests/test_client_machine.py
@@ -0,0 +1,427 @@
+"""Clients that do whatever clients do, as a state machine on the virtual network with TCP's ends, and an oracle that
+sees only what clients and storage nodes see, and when the gateway shut a connection."""
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule, run_state_machine_as_test
+from test_service import PING, Shop, read, write
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import ClientFactory, Protocol
+from zope.interface import implementer
+
+from ochrecourse.gateway.gateway import Gateway
+from ochrecourse.lab.virtual import VirtualNetwork, VirtualTransport
+from ochrecourse.outside import now_ns
+from ochrecourse.resp import codec, connection
+from ochrecourse.resp.closing import LingeringClose
+from ochrecourse.resp.connection import RespFront
+from ochrecourse.resp.words import asked
+from ochrecourse.standins.respnode import VALUE, good
+
+BREAK = 0.1  # s after a client's end from which on an attempt is a break
+SEEN = 0.01  # s after which a client's end is known, on connections that take half a millisecond
+WAY = 0.0006  # s that anything takes from one end of a connection to the other at most
+KILL = 2.7  # s after the order to leave: the longest client timeout and the platform's 0.7 s
+LONG = b"v" * 40_000  # two of it are more than a connection holds on its way
+LAST = 8.0  # s in which all that is open comes to its end
+
+
+class Peer:
+    """A client: what it sent and when, what it got, how it and its connection ended."""
+
+    def __init__(self, network, port, stubborn):
+        peer = self
+        self.network = network
+        self.transport = None
+        self.stubborn = stubborn  # it goes on when this side has been shut
+        self.sent = []  # (id or None for a PING, when its last byte was written), in order
+        self.replies, self.got = codec.Replies(), []
+        self.bad = False  # it sent what no client should
+        self.closed = False  # the gateway was told to make room
+        self.half = False  # its last command is not whole
+        self.left_at = None  # when it closed, shut its sending side or reset
+        self.shut_at = None  # when the gateway shut the connection
+        self.reason = None
+        self.side = None  # the gateway's end of the connection
+        self.paused = self.dawdled = False
+
+        class End(Protocol):
+            def connectionMade(self):
+                peer.transport = self.transport
+
+            def dataReceived(self, data):
+                peer.replies.feed(data)
+                while (one := peer.replies.next()) is not None:
+                    peer.got.append(one[0])
+
+            def connectionLost(self, reason=None):
+                peer.reason = reason
+
+        @implementer(IHalfCloseableProtocol)
+        class Stubborn(End):
+            def readConnectionLost(self):
+                pass
+
+            def writeConnectionLost(self):
+                pass
+
+        network.connectTCP("127.0.0.1", port, ClientFactory.forProtocol(Stubborn if stubborn else End))
+        network.advance(0.002)
+
+    @property
+    def here(self):
+        return self.transport is not None and self.left_at is None and self.reason is None
+
+    def say(self, data):
+        self.transport.write(data)
+
+
+class Clients(RuleBasedStateMachine):
+    """Rules are what clients, nodes and the gateway may do; the invariants and `teardown` judge."""
+
+    @initialize()
+    def start(self):
+        self.attempts = []  # (id, when) as they come to the node
+        self.mode = "answers"
+        self.long = False
+        self.unanswered = []
+        self.shop = Shop.__new__(Shop)
+        made = VirtualNetwork.__init__
+
+        def as_tcp(network, *args):
+            made(network, *args)
+            network.tcp = True
+
+        VirtualNetwork.__init__ = as_tcp
+        try:
+            self.shop.__init__(
+                reply=self.reply, sockets=384, **{"Classes.0.Deadline": "2000", "Classes.1.Deadline": "2000"}
+            )
+        finally:
+            VirtualNetwork.__init__ = made
+        self.network = self.shop.network
+        self.peers = []
+        self.number = 0
+        self.left_at = None
+
+    def reply(self, words):
+        self.attempts.append((words[2], self.network.now))
+        if self.mode == "hangs":
+            return None
+        if self.mode == "fails":
+            return b"-ERR failed\r\n"
+        if self.mode == "busy":
+            return b"-BUSY\r\n"
+        if self.long:
+            return b"*3\r\n" + codec.bulk(VALUE + words[2] + LONG) + b"$-1\r\n$-1\r\n"
+        return good(words)
+
+    def one(self, which):
+        """A client that is still here, or None."""
+        here = [peer for peer in self.peers if peer.here]
+        return here[which % len(here)] if here else None
+
+    def asks(self, peer, count, writes=False):
+        """The bytes of so many new requests."""
+        data = b""
+        for _ in range(count):
+            self.number += 1
+            peer.sent.append([b"%016x" % self.number, self.network.now])
+            data += write(self.number, d=60_000) if writes else read(self.number, d=60_000)
+        return data
+
+    # --- clients ---
+
+    @precondition(lambda self: len(self.peers) < 12)
+    @rule(stubborn=st.booleans())
+    def connects(self, stubborn):
+        peer = Peer(self.network, self.shop.port, stubborn)
+        if peer.transport is not None:
+            peer.side = peer.transport.peer
+            self.peers.append(peer)
+
+    @rule(which=st.integers(0, 11), count=st.sampled_from([1, 2, 3, 31, 33, 80]), writes=st.booleans())
+    def pipelines(self, which, count, writes):
+        peer = self.one(which)
+        if peer and not peer.half and not peer.bad:
+            peer.say(self.asks(peer, count, writes) + PING)
+            peer.sent.append([None, self.network.now])
+
+    @rule(which=st.integers(0, 11))
+    def sends_a_half(self, which):
+        peer = self.one(which)
+        if peer and not peer.half and not peer.bad:
+            peer.half = True
+            whole = self.asks(peer, 1)
+            peer.rest = whole[-20:]
+            peer.unsent = peer.sent.pop()
+            peer.say(whole[:-20])
+
+    @rule(which=st.integers(0, 11))
+    def sends_the_rest(self, which):
+        peer = self.one(which)
+        if peer and peer.half and not peer.bad:
+            peer.half = False
+            peer.sent.append([peer.unsent[0], self.network.now])
+            peer.say(peer.rest)
+
+    @rule(which=st.integers(0, 11), gap=st.sampled_from([0.0, 0.0003, 0.0008]))
+    def sends_nonsense_and_goes_on(self, which, gap):
+        peer = self.one(which)
+        if peer and not peer.half and not peer.bad:
+            peer.bad = True
+            peer.say(b"nonsense\r\n")
+            for _ in range(4):
+                self.network.advance(gap)
+                peer.say(read(999_999_999))
+
+    @rule(which=st.integers(0, 11), paused=st.booleans())
+    def pauses_or_reads_on(self, which, paused):
+        peer = self.one(which)
+        if peer and peer.paused is not paused:
+            peer.paused = paused
+            peer.dawdled = True
+            (peer.transport.pauseProducing if paused else peer.transport.resumeProducing)()
+
+    @rule(which=st.integers(0, 11), how=st.sampled_from(["close", "half-close", "reset"]))
+    def leaves(self, which, how):
+        peer = self.one(which)
+        if peer:
+            end = {"close": "loseConnection", "half-close": "loseWriteConnection", "reset": "abortConnection"}[how]
+            getattr(peer.transport, end)()
+            peer.left_at = self.network.now
+
+    @rule(
+        which=st.integers(0, 11), count=st.sampled_from([3, 40]), how=st.sampled_from(["close", "half-close", "reset"]),
+        later=st.sampled_from([0.05, 0.12, 0.2]),
+    )  # fmt: skip
+    def sends_much_and_goes(self, which, count, how, later):
+        """Nodes answer only when it has gone, while its other requests would still be in time."""
+        if self.one(which):
+            mode, self.mode = self.mode, "hangs"
+            self.pipelines(which, count, False)
+            self.network.advance(0.01)
+            self.leaves(which, how)
+            self.network.advance(later)
+            self.nodes_answer_what_hangs(True)
+            self.network.advance(0.01)
+            self.mode = mode
+
+    # --- nodes ---
+
+    @rule(mode=st.sampled_from(["answers", "hangs", "fails", "busy"]), long=st.booleans())
+    def nodes_become(self, mode, long):
+        self.mode, self.long = mode, long
+
+    @rule(served=st.booleans())
+    def nodes_answer_what_hangs(self, served):
+        for peer in list(self.shop.node.peers):
+            if peer.commands and peer.transport is not None:
+                peer.transport.write(good(peer.commands[-1]) if served else b"-ERR failed\r\n")
+
+    # --- the gateway, and time ---
+
+    @rule(which=st.integers(0, 11), crossing=st.booleans())
+    def gateway_makes_room(self, which, crossing):
+        """As the factory does for those who come; bytes may be on their way in that very moment."""
+        peer = self.one(which)
+        if peer and not peer.half and not peer.bad:
+            side = peer.side.protocol
+            if crossing:
+                peer.say(self.asks(peer, 1))
+            peer.closed = side.close() or peer.closed
+
+    @precondition(lambda self: self.left_at is None)
+    @rule()
+    def gateway_leaves(self):
+        self.left_at = self.network.now
+        self.shop.service.leave()
+
+    @precondition(lambda self: self.left_at is not None and self.network.now < self.left_at + 2)
+    @rule(which=st.integers(0, 11), at=st.sampled_from([2.1, 2.15, 2.19, 2.3]), mode=st.sampled_from(["answers", "hangs"]))
+    def clients_still_come_at_the_end(self, which, at, mode):
+        self.mode = mode
+        self.network.run_until(self.left_at + at)
+        self.pipelines(which, 80, False)
+
+    @rule(seconds=st.sampled_from([0.0001, 0.0004, 0.002, 0.03, 0.3, 1.2]))
+    def time_passes(self, seconds):
+        self.network.advance(seconds)
+
+    # --- the oracle ---
+
+    @invariant()
+    def shutdowns_are_noted(self):
+        for peer in getattr(self, "peers", ()):
+            if peer.shut_at is None:
+                peer.shut_at = SHUTS.get(peer.side)
+
+    @invariant()
+    def no_attempt_begins_after_its_client_left(self):
+        left = {name: peer.left_at for peer in getattr(self, "peers", ()) for name, _ in peer.sent if peer.left_at}
+        for name, when in getattr(self, "attempts", ()):
+            assert name not in left or when <= left[name] + BREAK, f"{when - left[name]:.3f} s after the end"
+
+    @invariant()
+    def every_end_is_seen(self):
+        for peer in getattr(self, "peers", ()):
+            if peer.left_at is not None and self.network.now > peer.left_at + SEEN:
+                assert not peer.side.protocol.up and not peer.side.protocol.jobs, "its end was not seen"
+
+    @invariant()
+    def what_is_held_is_counted(self):
+        if hasattr(self, "peers"):
+            front = self.shop.service.front
+            assert front.commands == sum(len(each.slots) for each in front.fronts)
+            assert front.waiting_size == sum(each.waiting_size for each in front.fronts)
+            assert all(each.running <= connection.AT_ONCE for each in front.fronts)
+
+    def teardown(self):
+        if not hasattr(self, "peers"):
+            return
+        for peer in self.peers:
+            if peer.here and peer.paused:
+                peer.transport.resumeProducing()
+        self.mode = "answers"
+        if self.left_at is not None:
+            self.network.run_until(max(self.network.now, self.left_at + KILL))
+            assert self.shop.over == [1], "it did not end before its kill"
+        else:
+            self.network.advance(LAST)
+            assert not self.shop.service.gateway.ledger.open
+        self.shutdowns_are_noted()
+        self.no_attempt_begins_after_its_client_left()
+        self.what_is_held_is_counted()
+        attempted = {name for name, _ in self.attempts}
+        assert b"%016x" % 999_999_999 not in attempted, "sent on from behind a mistake"
+        for peer in self.peers:
+            self.judge(peer, attempted)
+        SHUTS.clear()
+
+    def judge(self, peer, attempted):
+        """Each request has exactly one whole answer, or its client left, or it crossed the shutdown unread."""
+        for (name, _), reply in zip(peer.sent, peer.got, strict=False):
+            if isinstance(reply, bytes):
+                assert name is not None and reply.startswith(VALUE + name), "an answer of another request"
+            elif isinstance(reply, codec.Status):
+                assert name is None and reply.text == b"PONG"
+        assert len(peer.got) <= len(peer.sent) + 1
+        if len(peer.got) > len(peer.sent):
+            assert isinstance(peer.got[-1], codec.Error) and (peer.bad or peer.half or not peer.sent)
+        if peer.left_at is not None or (peer.dawdled and peer.shut_at is not None):
+            return
+        for name, when in peer.sent[len(peer.got) :]:
+            assert name not in attempted, "sent on and not answered"
+            assert peer.shut_at is not None and when + WAY >= peer.shut_at, "read and not answered"
+        if peer.bad and not peer.closed and self.left_at is None:
+            assert peer.got and isinstance(peer.got[-1], codec.Error) and b"not_a_command" in peer.got[-1].text
+        if peer.reason is not None and not peer.stubborn:
+            assert peer.reason.check(ConnectionDone), "reset by the gateway"
+
+
+SHUTS = {}  # when the gateway's end of a connection was shut or closed first
+
+
+@pytest.fixture(autouse=True)
+def shuts(monkeypatch):
+    """Notes when each end of a virtual connection is first shut, closed or reset by its own side."""
+    SHUTS.clear()
+    for name in ("loseWriteConnection", "loseConnection", "abortConnection"):
+        whole = getattr(VirtualTransport, name)
+
+        def noted(transport, *args, _whole=whole):
+            if not transport.lost:
+                SHUTS.setdefault(transport, transport.network.now)
+            return _whole(transport, *args)
+
+        monkeypatch.setattr(VirtualTransport, name, noted)
+
+
+def play():
+    profile = settings(
+        max_examples=150, stateful_step_count=30, deadline=None, derandomize=True, database=None,
+        phases=[Phase.generate], report_multiple_bugs=False,
+    )  # fmt: skip
+    run_state_machine_as_test(Clients, settings=profile)
+
+
+def test_clients_of_all_kinds_get_one_answer_each_and_leave_nothing_behind():
+    play()
+
+
+# --- mistakes made on purpose, each of which the machine must find ---
+
+
+def reads_nothing_at_the_limit(monkeypatch):
+    whole = RespFront._go_on
+
+    def go_on(front):
+        whole(front)
+        if front.up and front.closing is None:
+            full = len(front.jobs) >= connection.AT_ONCE
+            (front.transport.pauseProducing if full else front.transport.resumeProducing)()
+
+    monkeypatch.setattr(RespFront, "_go_on", go_on)
+
+
+def closes_at_once(monkeypatch):
+    def drained(closing):
+        closing.transport.unregisterProducer()
+        closing.transport.loseConnection()
+
+    monkeypatch.setattr(LingeringClose, "drained", drained)
+
+
+def leaves_only_what_was_sent_on(monkeypatch):
+    whole = Gateway.leave_all
+    monkeypatch.setattr(
+        Gateway, "leave_all", lambda self, jobs: whole(self, [job for job in jobs if self.tasks[job].leg is not None])
+    )
+
+
+def takes_what_comes_behind_its_shutdown(monkeypatch):
+    whole = RespFront.dataReceived
+
+    def received(front, data):
+        if front.closing is None or front.breach is not None:
+            whole(front, data)
+            return
+        front.commands.feed(data)
+        while (words := front.commands.next()) is not None:
+            if len(words) > 1:
+                front.gateway.take(asked(words, front.factory.kinds, now_ns(front.clock)), front)
+
+    monkeypatch.setattr(RespFront, "dataReceived", received)
+
+
+def takes_what_comes_behind_a_mistake(monkeypatch):
+    def received(front, data):
+        for part in data.split(b"nonsense\r\n"):
+            front.commands.feed(part)
+            breach, front.breach = front.breach, None
+            front._read()
+            front.breach = front.breach or breach
+        if b"nonsense" in data and front.breach is None:
+            front._wrong(codec.Breach("not_a_command", "made on purpose"))
+            front._go_on()
+
+    monkeypatch.setattr(RespFront, "dataReceived", received)
+
+
+def waits_for_those_who_never_close(monkeypatch):
+    monkeypatch.setattr(LingeringClose, "_wait", lambda closing, seconds: None)
+
+
+@pytest.mark.parametrize(
+    "mistake",
+    [
+        reads_nothing_at_the_limit, closes_at_once, leaves_only_what_was_sent_on, takes_what_comes_behind_its_shutdown,
+        takes_what_comes_behind_a_mistake, waits_for_those_who_never_close,
+    ],
+)  # fmt: skip
+def test_a_mistake_made_on_purpose_is_found(mistake, monkeypatch):
+    mistake(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        play()
