Signals are kept from the first lines on and done once the gateway serves

Excluded: callFromThread before reactor.run is kept and run (the waker stands since the reactor is made); signals in the loop, while leaving and at the last closes were green before. Guilty: relay/__main__.main installed its handlers after serve(), and imported everything first. Also after the loop: the interpreter gives handlers their default action back while it is taken down, so that a late signal set the exit code. Change: relay/signals.Signals is installed first, keeps what came, and hands it to the loop by callFromThread as before; an order to end before serve() ends with code 0; signals are ignored once the loop has ended. The rest of main is relay/run.run now.

--- /dev/null
+++ b/ochrecourse/relay/run.py
@@ -0,0 +1,61 @@
+"""The parts of a gateway on the platform, put together on the real reactor and run until it has left."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from typing import Any, cast
+
+from twisted.internet.error import CannotListenError
+from twisted.logger import globalLogBeginner
+
+from ochrecourse.interface import MissingValue
+from ochrecourse.relay.file import read
+from ochrecourse.relay.service import Service
+from ochrecourse.relay.signals import Signals
+from ochrecourse.relay.start import BadStart
+from ochrecourse.steady import Collector, raise_files, steady_reactor
+
+
+def log(text: str) -> None:
+    """One line on standard error."""
+    sys.stderr.write(f"{time.time():.3f} {text}\n")
+    sys.stderr.flush()
+
+
+def run(signals: Signals) -> int:
+    """Serves until the gateway is told to end and has left; the exit code."""
+    path = os.environ.get("RELAY_CONFIG", "")
+    try:
+        if not path:
+            raise BadStart("RELAY_CONFIG is not set; it names the start file")
+        start = read(path)
+        files = raise_files()
+        reactor = steady_reactor()
+        globalLogBeginner.beginLoggingTo([cast(Any, _observe)], redirectStandardIO=False, discardBuffer=True)
+        service = Service(start, path, reactor, time.time_ns(), log, reactor.stop)
+        if signals.asked_to_end():
+            log("told to end before it served")
+            return 0
+        host, port = service.serve()
+    except (BadStart, MissingValue) as trouble:
+        log(f"ochrecourse relay: {trouble}")
+        return 2
+    except CannotListenError as trouble:
+        log(f"ochrecourse relay: cannot listen: {trouble.socketError}")
+        return 2
+    signals.act(reactor.callFromThread, service.leave, service.reload)
+    Collector(reactor, lambda: not service.gateway.ledger.open, lambda: service.front.closed)
+    log(f"{start.name} serves at {host}:{port}; {start.sockets} descriptors of {files}, {start.memory_mb} MB")
+    reactor.run(installSignalHandlers=False)
+    ledger = service.gateway.ledger
+    log(f"left; {ledger.taken} jobs, {ledger.legs} legs, clients: {dict(service.front.counts)}, "
+        f"nodes: {dict(service.gateway.nodes.counts)}")  # fmt: skip
+    return 0
+
+
+def _observe(event: Any) -> None:
+    failure = event.get("log_failure")
+    if failure is not None:
+        log(f"unexpected: {failure.getTraceback()}")
