A start file that can't be read at SIGHUP is read again until it is whole

Guilty: Service.reload returned after its first BadStart. Change: a timer reads again after 0.1, 0.2, 0.4 and then each 0.5 s, up to 10 s; a later SIGHUP begins anew, also while leaving; not after the end. One log line a SIGHUP, one when it is given up.

--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -2,8 +2,8 @@
 of start, reload and end.
 
 Start: the known list first, then the watch from its version, then the port. Reload: a file that can't be read
-changes nothing. End: jobs are taken as long as clients may still come, connections are closed as they fall
-idle, and when the last job has its answer all is over.
+changes nothing and is read again for some seconds. End: jobs are taken as long as clients may still come,
+connections are closed as they fall idle, and when the last job has its answer all is over.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.nodes.pool import PoolLimits
-from ochrecourse.outside import MS, SECOND, Network, now_ns
+from ochrecourse.outside import MS, SECOND, Network, Timer, now_ns, stop
 from ochrecourse.relay.discovery import BadNews, Book, News
 from ochrecourse.relay.file import read
 from ochrecourse.relay.start import BadStart, Start
@@ -28,6 +28,9 @@
 SPARE = 0.2  # s before that by which the last answer is out
 CLOSING = 0.3  # s before that in which nothing new is taken
 RESERVE = 40  # descriptors for the process itself: listener, watches, poll, log, and a few in between
+READ_AGAIN = 0.1  # s before a start file that can't be read is read again: it may be half written
+LONGEST_READ_AGAIN = 0.5  # s, after failures in a row
+READ_UNTIL = 10.0  # s after SIGHUP at which the file is given up; a move of the list counts after 4 s
 ROOMY = 4  # part of all descriptors beyond which resting clients are closed; clients hold a third at most
 IDLE_PART = 3  # part of the time at which a node closes an idle connection after which this side does
 DIALS = 64  # at once; a dial takes a part of a second at most, and a wait for one would look like a slow node
@@ -73,6 +76,8 @@
         self.listen_at = start.listen
         self.port: Any = None
         self.leaving = False
+        self.ended = False
+        self._read_again: Timer | None = None
         count = int(values.get("Classes.count", 0))
         longest = max((float(values.get(f"Classes.{i}.Deadline", 0)) for i in range(count)), default=0.0)
         self.kill = min(KILL[0], longest / 1000) + KILL[1]  # s after SIGTERM
@@ -90,14 +95,41 @@
         return at.host, at.port
 
     def reload(self) -> None:
-        """The start file was replaced: what may change in service is taken over."""
+        """The start file was replaced: what may change in service is taken over. A file that can't be read is
+        read again for a while: it may be half written, or be missing for a moment.
+        """
+        stop(self._read_again)
+        self._read_again = None
+        if self.ended:
+            return
+        trouble = self._take_over()
+        if trouble is None:
+            return
+        self.log(f"start file not taken over: {trouble}")
+        self._reload_later(READ_AGAIN, self.network.seconds() + READ_UNTIL)
+
+    def _take_over(self) -> BadStart | None:
+        """Reads the start file and follows it; what is wrong with it, if it can't be read."""
         try:
             again = read(self.path)
         except BadStart as trouble:
-            self.log(f"start file not taken over: {trouble}")
-            return
+            return trouble
         self.watch.move(again.discovery)
         self.log(f"start file read again; the list is told at {again.discovery[0]}:{again.discovery[1]}")
+        return None
+
+    def _reload_later(self, wait: float, until: float) -> None:
+        self._read_again = self.network.callLater(wait, self._reload_again, wait, until)
+
+    def _reload_again(self, wait: float, until: float) -> None:
+        self._read_again = None
+        trouble = self._take_over()
+        if trouble is None:
+            return
+        if self.network.seconds() >= until:
+            self.log(f"start file given up until the next SIGHUP: {trouble}")
+            return
+        self._reload_later(min(LONGEST_READ_AGAIN, 2 * wait), until)
 
     def leave(self) -> None:
         """Goes out of service in order; `over` is called at the end."""
@@ -120,6 +152,8 @@
         self.network.callLater(0, self._end)
 
     def _end(self) -> None:
+        self.ended = True
+        stop(self._read_again)
         self.watch.stop()
         self.front.stop()
         self.gateway.stop()
