--- a/ochrecourse/steady.py
+++ b/ochrecourse/steady.py
@@ -69,8 +69,10 @@
             self._pause = None
 
 
-def make_reactor() -> Any:
-    """A reactor that is not the process's; `steady_reactor` makes and installs that."""
+def make_reactor(port_type: type[tcp.Port] = tcp.Port) -> Any:
+    """A reactor that is not the process's; `steady_reactor` makes and installs that. `port_type`: what it
+    listens with.
+    """
     if sys.platform == "linux":
         from twisted.internet.epollreactor import EPollReactor as Base
     else:
@@ -79,17 +81,17 @@
     class Steady(Base):
         seconds = staticmethod(time.monotonic)
 
-        def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> SteadyPort:
-            listening = SteadyPort(port, factory, backlog, interface, self)
+        def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> tcp.Port:
+            listening = port_type(port, factory, backlog, interface, self)
             listening.startListening()
             return listening
 
     return Steady()  # type: ignore[no-untyped-call]
 
 
-def steady_reactor() -> Any:
+def steady_reactor(port_type: type[tcp.Port] = tcp.Port) -> Any:
     """Installs and returns the process's reactor. Call it once, before anything imports the global one."""
-    reactor = make_reactor()
+    reactor = make_reactor(port_type)
     installReactor(reactor)  # type: ignore[no-untyped-call]
     return reactor
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -16,7 +16,7 @@
 from ochrecourse.relay.start import parse
 from ochrecourse.resp import codec
 from ochrecourse.standins.respnode import ListAgent, RespNode, good
-from ochrecourse.steady import make_reactor
+from ochrecourse.steady import SteadyPort, make_reactor
 
 TURNS = 100_000  # of the loop, each of a tenth of a second at most; a bound for what never comes
 
@@ -25,7 +25,7 @@
     """A reactor of the test's own, moved turn by turn, with a node, an agent and a service on it."""
 
     def __init__(self, reply=good, sockets=256):
-        self.reactor = make_reactor()
+        self.reactor = make_reactor(SteadyPort)
         self.node, self.agent = RespNode(reply), ListAgent()
         self.ports = [self.reactor.listenTCP(0, each, interface="127.0.0.1") for each in (self.node, self.agent)]
         node, agent = (port.getHost().port for port in self.ports)
@@ -166,7 +166,7 @@
 
 @pytest.mark.parametrize("reserved", [True, False])
 def test_a_process_without_a_free_descriptor_does_not_spin_at_its_port(reserved, monkeypatch):
-    reactor = make_reactor()
+    reactor = make_reactor(SteadyPort)
     port = reactor.listenTCP(0, Factory.forProtocol(Quiet), interface="127.0.0.1")
     calls = []
 
