One bound of clients' connections, for port and factory; a pace is never zero

The listening port's room and the factory's own bound beyond the most were the same figure in two modules (service.GOING_AWAY and front.BEYOND): RespFrontFactory.room() is asked by both now. Host._learn takes an answer in no time at all for one of a nanosecond: a pace of zero divided by zero in _learn and _density on a clock that stands still (found by a test whose clock is driven by hand).

--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -406,9 +406,9 @@
         node.good += SMOOTH * (good - node.good)
         if good:
             # Guards against taking a jam for the usual pace, after which nothing would be tried any more.
-            usual = SOON * product.promised / self.usual_units
+            usual, took = SOON * product.promised / self.usual_units, max(1, end.took) / units
             product.seen += 1  # the first answers count alike, or a rare product stays at its first look
-            product.pace += max(SMOOTH, 1 / product.seen) * (min(usual, end.took / units) - product.pace)
+            product.pace += max(SMOOTH, 1 / product.seen) * (min(usual, took) - product.pace)
         # Guards against beating on a node that turns jobs away unseen: the wait there is the promised time.
         shut = end.ending in (Ending.FULL, Ending.UNREACHABLE)
         ratio = (product.promised if shut else end.took) / (product.pace * units) + shut
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -28,7 +28,6 @@
 SPARE = 0.2  # s before that by which the last answer is out
 CLOSING = 0.3  # s before that in which nothing new is taken
 RESERVE = 40  # descriptors for the process itself: listener, watches, poll, log, and a few in between
-GOING_AWAY = 16  # of them for clients beyond their share, which are turned away or make room for each other
 READ_AGAIN = 0.1  # s before a start file that can't be read is read again: it may be half written
 LONGEST_READ_AGAIN = 0.5  # s, after failures in a row
 READ_UNTIL = 10.0  # s after SIGHUP at which the file is given up; a move of the list counts after 4 s
@@ -62,7 +61,6 @@
         self.log = log
         self.over = over
         clients, nodes = shares(start.sockets)
-        self.clients = clients
         values = start.values
         idle = float(values.get("Limits.IdleClose", 15_000))
         idle_ns = round(idle * MS / IDLE_PART)
@@ -93,7 +91,7 @@
         self.watch.start()
         host, port = self.listen_at
         self.port = self.network.listenTCP(port, self.front, backlog=1024, interface=host)
-        self.port.room = self._room
+        self.port.room = self.front.room
         at = self.port.getHost()
         return at.host, at.port
 
@@ -144,12 +142,6 @@
         self.gateway.last = now_ns(self.network) + round((self.kill - SPARE) * SECOND)
         self.network.callLater(max(GOING, self.kill - SPARE - CLOSING), self._close_door)
 
-    def _room(self) -> int:
-        """How many more clients' connections may be accepted now. One that is closing counts until it is
-        closed: it holds its descriptor.
-        """
-        return self.clients + GOING_AWAY - len(self.front.fronts)
-
     def _close_door(self) -> None:
         if self.port is not None:
             self.port.stopListening()
--- a/ochrecourse/resp/front.py
+++ b/ochrecourse/resp/front.py
@@ -55,8 +55,14 @@
         self._sweep: Timer | None = clock.callLater(TIDY, self._tidy)
         self._last_words: Timer | None = None
 
+    def room(self) -> int:
+        """How many more connections may be accepted now. One that is closing counts until it is closed: it
+        holds its descriptor.
+        """
+        return self.most + BEYOND - len(self.fronts)
+
     def buildProtocol(self, addr: Any) -> RespFront | None:
-        if len(self.fronts) >= self.most + BEYOND:
+        if self.room() <= 0:
             # Guards against many that come in one turn of the loop: what makes room is gone a turn later.
             self.counts["shut_unread"] += 1
             return None
