--- a/ochrecourse/settings/examples/telemetry.cue
+++ b/ochrecourse/settings/examples/telemetry.cue
@@ -4,7 +4,7 @@
 
 #Deferrable: {promised: 1.5s, client_timeout: 5s, payoff: 1}
 products: [
-	{name: "status-read", promised: 300ms, client_timeout: 2s, payoff: 2},
+	{name: "gauge-read", promised: 300ms, client_timeout: 2s, payoff: 2},
 	{
 		name: "record-write", promised: 500ms, client_timeout: 2.5s, payoff: 2
 		effect: "fingerprinted", repeat_group: "cell", repeat_window: 2.5s
