--- /dev/null
+++ b/tests/test_settings_of_others.py
@@ -0,0 +1,415 @@
+"""Settings unlike ours: short days on a virtual network, judged from what passed on the sockets alone."""
+
+from collections import defaultdict
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.relay.service import Service
+from ochrecourse.relay.start import parse
+from ochrecourse.resp import codec
+from ochrecourse.standins.respnode import VALUE, ListAgent, RespNode, RespPeer, good
+
+HEARTBEAT = 2.0  # s between empty lines of a watch
+BETWEEN = 0.001  # s by which two moments seen at the far ends may be nearer than they were sent; twice the way
+LAST_REQUEST = 800  # ms after the start in which the last client may ask
+GONE = 0.1  # s after a client's close in which an attempt on its way may still begin
+MAY_HAVE_RUN = ("good", "late", "error", "reset", "hang")
+BEHAVIOURS = (*MAY_HAVE_RUN, "busy", "late busy")
+FEW = settings(max_examples=60, deadline=None, suppress_health_check=list(HealthCheck))
+
+
+# --- the settings, drawn ---
+
+
+@st.composite
+def classes(draw):
+    """One class as the settings tell it. Times in ms."""
+    deadline = draw(st.sampled_from([2500, 900, 10_000, 60_000, 200, 90, 60, 40]))
+    told = {
+        "Aim": float(max(40, round(deadline * draw(st.sampled_from([1.0, 0.7, 0.3, 0.1]))))),
+        "Deadline": float(deadline),
+        "Effect": draw(st.sampled_from(["keyed", "safe", "keyed", "unsafe"])),
+    }
+    if told["Effect"] == "keyed" or draw(st.booleans()):
+        told["KeyScope"] = draw(st.sampled_from(["all", "zone", "cell"]))
+        told["Window"] = float(draw(st.sampled_from([1000, 300, 5000, 120, 50])))
+    told |= draw(st.fixed_dictionaries({}, optional={
+        "Points": st.sampled_from([0.5, 1.0, 7.0]), "LateShare": st.sampled_from([0.0, 0.4]),
+        "Stream": st.just(False), "SerialByKey": st.just(False), "AimStretch": st.just(2.0),
+    }))  # fmt: skip
+    return told
+
+
+plans = st.fixed_dictionaries(
+    {"Rate": st.sampled_from([0.5, 4.0, 60.0])},
+    optional={
+        "Weight": st.sampled_from([0.5, 1.0, 9.0]), "Reserve": st.sampled_from([0.0, 2.0, 100.0]),
+        "ValueFactor": st.sampled_from([0.1, 1.0, 3.0]), "LimitSlack": st.sampled_from([0.0, 2.0]),
+    },
+)  # fmt: skip
+limits = st.none() | st.fixed_dictionaries({
+    "Limit": st.sampled_from([0.5, 5.0, 40.0]), "CapDepth": st.sampled_from([8.0, 20.0, 100.0]),
+})  # fmt: skip
+site = st.fixed_dictionaries(
+    {
+        "FamilyInfo.ColdUnits": st.sampled_from([1.0, 8.0, 200.0]), "FamilyInfo.UnitsTop": st.just(8),
+        "FamilyInfo.UsualUnits": st.sampled_from([0.5, 2.0, 6.0]), "Period": st.sampled_from([1.0, 2.0, 10.0]),
+        "Instances": st.integers(1, 230), "Limits.MaxAttempts": st.sampled_from([3, 6, 2, 5, 4, 1]),
+        "Safety.Cold": st.sampled_from([0.0, 5000.0, 30_000.0]), "Safety.Fall": st.sampled_from([500.0, 3000.0]),
+        "Safety.AnswerSlack": st.sampled_from([4.0, 20.0]),
+    },
+    optional={
+        "FamilyInfo.FairWorth": st.sampled_from([0.05, 0.3, 1.0]), "FamilyInfo.BeyondShare": st.sampled_from([0.0, 0.2]),
+        "FamilyInfo.Meter": st.sampled_from([0.0, 1000.0]), "FamilyInfo.TellsElsewhere": st.just(True),
+        "Limits.RetryAfter": st.booleans(), "Limits.MaxRetryAfter": st.just(700.0),
+        "Limits.DialTimeout": st.sampled_from([50.0, 250.0, 1000.0]),
+        "Limits.IdleClose": st.sampled_from([500.0, 15_000.0, 90_000.0]), "Limits.Multiplex": st.sampled_from([1, 32]),
+        "Limits.MaxOpen": st.sampled_from([2, 20_000]), "Limits.ParallelTries": st.booleans(),
+        "Discovery": st.just("push"), "Safety.ExtraRatio": st.sampled_from([0.0, 0.2]),
+        "Safety.ExtraFloor": st.sampled_from([0.0, 5.0]), "Safety.CountedOver": st.sampled_from([1000.0, 10_000.0]),
+        "Safety.OverloadFactor": st.sampled_from([2.0, 4.0]), "Safety.StartCapacity": st.sampled_from([0.1, 0.5]),
+        "Safety.DrainGrace": st.just(1000.0), "Safety.OrderSettle": st.just(100.0), "Prices.Handshake": st.just(0.05),
+        "Stats.How": st.sampled_from(["off", "inline"]), "Something.New": st.just([1, 2, 3]),
+    },
+)  # fmt: skip
+
+
+@st.composite
+def days(draw):
+    """A site, its storage nodes and a short day: settings, cell and zone of each node, requests, behaviours."""
+    kinds = draw(st.lists(classes(), min_size=1, max_size=12))
+    tenants = draw(st.lists(st.tuples(plans, limits), min_size=1, max_size=4))
+    count = draw(st.sampled_from([1, 2, 3, 40, 1200]))
+    zones = [f"zone-{i}" for i in range(draw(st.integers(0, 12)))]
+    values = {"Classes.count": len(kinds), "Policies.count": count, **draw(site)}
+    for i, kind in enumerate(kinds):
+        values |= {f"Classes.{i}.Name": f"class-{i}"} | {f"Classes.{i}.{name}": told for name, told in kind.items()}
+    for i in range(count):
+        usual, limit = tenants[i % len(tenants)]
+        values |= {f"Policies.{i}.Name": f"plan-{i}"}
+        values |= {f"Policies.{i}.{name}": told for name, told in (usual | (limit or {})).items()}
+    if zones:
+        values["Zones"] = zones
+    cells = draw(st.integers(1, 4))
+    nodes = [(i % cells, zones[i % len(zones)] if zones else "") for i in range(draw(st.integers(cells, 8)))]
+    requests = st.fixed_dictionaries({
+        "at": st.integers(0, LAST_REQUEST), "class": st.integers(0, len(kinds) - 1), "plan": st.integers(0, count - 1),
+        "volume": st.integers(0, 2), "units": st.sampled_from([1, 1, 1, 2.5, 8]), "cell": st.integers(-1, cells - 1),
+        "part": st.sampled_from([1.0, 1.0, 0.4]), "hosts": st.sampled_from([1, 1, 3]),
+        "leaves": st.none() | st.none() | st.sampled_from([1, 15, 60, 250]),
+    })  # fmt: skip
+    behaviours = st.tuples(st.sampled_from(BEHAVIOURS), st.sampled_from([1, 10, 55, 130, 400]))
+    return {
+        "values": values, "nodes": nodes, "seed": draw(st.integers(0, 999)),
+        "requests": draw(st.lists(requests, min_size=1, max_size=30)),
+        "behaviours": draw(st.lists(behaviours, min_size=1, max_size=12)),
+    }  # fmt: skip
+
+
+# --- the world ---
+
+
+class PlayedPeer(RespPeer):
+    """A node's end of a connection: each command is an attempt, played as the day says."""
+
+    def dataReceived(self, data):
+        self.rest += data
+        while (words := self._command()) is not None:
+            self.node.world.attempt_came(self, words)
+
+    def closed(self):
+        """Whether either end of the connection has been closed."""
+        return self.transport.lost or self.transport.disconnecting or self.transport.peer.lost
+
+
+class PlayedNode(RespNode):
+    def __init__(self, world, cell, zone):
+        super().__init__()
+        self.world, self.cell, self.zone = world, cell, zone
+
+    def buildProtocol(self, addr):
+        return PlayedPeer(self)
+
+
+class Attempt:
+    """An attempt whose last byte came to a node."""
+
+    def __init__(self, at, peer, kind):
+        self.at, self.peer, self.node = at, peer, peer.node
+        self.kind = kind
+        self.answered = False
+
+    def out(self):
+        return not self.answered and not self.peer.closed()
+
+    def proven_unrun(self):
+        return self.answered and "busy" in self.kind
+
+
+class Asked(Protocol):
+    """A client with one request on one connection, and all that it saw."""
+
+    def __init__(self, world, number, told):
+        self.world, self.number, self.told = world, number, told
+        self.sent_at = self.left_at = self.got_at = None
+        self.got, self.ended, self.attempts = b"", False, []
+        kind = world.kinds[told["class"]]
+        self.effect, self.scope = kind["Effect"], kind.get("KeyScope", "all")
+        self.window = float(kind.get("Window", 0)) / 1000
+        self.waits = max(1, round(kind["Deadline"] * told["part"]))  # ms
+
+    def connectionMade(self):
+        told = self.told
+        writes = self.effect != "safe"
+        fields = f"c=class-{told['class']},t=plan-{told['plan']},d={self.waits}"
+        fields += ",k=5c0f6e1a2b3d4c59" if self.effect == "keyed" else ""
+        fields += f",volume={self.volume():016x},units={told['units']},shard={told['cell']},hosts={told['hosts']}"
+        words = [b"BLK.WRITE" if writes else b"BLK.READ", b"%016x" % (self.number + 7), b"%016x" % self.number]
+        self.transport.write(codec.command([*words, fields.encode(), *([b"body"] if writes else [])]))
+        self.sent_at = self.world.network.seconds()
+        if told["leaves"] is not None:
+            self.world.network.callLater(told["leaves"] / 1000, self.leave)
+
+    def volume(self):
+        """Of one plan, as volumes are."""
+        return self.told["plan"] * 3 + self.told["volume"] + 1
+
+    def leave(self):
+        if not self.got and not self.ended:
+            self.left_at = self.world.network.seconds()
+            self.transport.abortConnection()
+
+    def dataReceived(self, data):
+        self.got += data
+        self.got_at = self.got_at or self.world.network.seconds()
+
+    def connectionLost(self, reason=None):
+        self.ended = True
+
+
+class LateDials:
+    """The network as the gateway sees it when some of its connections to nodes come up late."""
+
+    def __init__(self, network, ports, late):
+        """`late`: seconds for one dial after another, again from the first at the end."""
+        self.network, self.ports, self.late, self.count = network, ports, late, 0
+
+    def __getattr__(self, name):
+        return getattr(self.network, name)
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        wait = self.late[self.count % len(self.late)] if port in self.ports else 0
+        self.count += port in self.ports
+        self.network.callLater(wait, self.network.connectTCP, host, port, factory, timeout)
+
+
+class World:
+    """A gateway with its nodes, its list and its clients through a short day."""
+
+    def __init__(self, day, late=(0.0,)):
+        self.network = VirtualNetwork(day["seed"])
+        self.behaviours, self.count = day["behaviours"], 0
+        self.values = values = dict(day["values"])
+        writes = [values[f"Classes.{i}.Effect"] != "safe" for i in range(values["Classes.count"])]
+        values["FamilyInfo.Writes"] = writes
+        self.kinds = [self._class(day["values"], i) for i in range(len(writes))]
+        self.nodes = [PlayedNode(self, cell, zone) for cell, zone in day["nodes"]]
+        ports = [self.network.listenTCP(0, node).getHost().port for node in self.nodes]
+        listed = [
+            {"instanceId": f"s-{i}", "hostPort": f"127.0.0.1:{port}", "zone": node.zone, "cell": node.cell,
+             "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0}
+            for i, (node, port) in enumerate(zip(self.nodes, ports, strict=True))
+        ]  # fmt: skip
+        self.agent = ListAgent()
+        agent_port = self.network.listenTCP(0, self.agent).getHost().port
+        self._beat()
+        told = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{agent_port}", "seed": f"{day['seed']:x}",
+            "limits": {"sockets": 1024}, "settings": values,
+            "known": {"generation": 1, "reset": True, "instances": listed},
+        }  # fmt: skip
+        self.log = []
+        dials = LateDials(self.network, set(ports), list(late))
+        self.service = Service(parse(told), "none", dials, 10**18, self.log.append, lambda: None)
+        port = self.service.serve()[1]
+        self.clients = {}
+        for number, request in enumerate(day["requests"], 1):
+            self.clients[number] = client = Asked(self, number, request)
+            factory = ClientFactory()
+            factory.noisy = False
+            factory.buildProtocol = lambda addr, client=client: client
+            self.network.callLater(request["at"] / 1000, self.network.connectTCP, "127.0.0.1", port, factory)
+        self.slack = float(values["Safety.AnswerSlack"]) / 1000
+        self.faults = []
+
+    @staticmethod
+    def _class(values, i):
+        at = f"Classes.{i}."
+        return {name.removeprefix(at): told for name, told in values.items() if name.startswith(at)}
+
+    def _beat(self):
+        for watch in self.agent.watches:
+            watch.say(b"\n")
+        self.network.callLater(HEARTBEAT, self._beat)
+
+    def run(self):
+        longest = max(client.waits for client in self.clients.values()) / 1000
+        self.network.advance(LAST_REQUEST / 1000 + longest + 1.0)
+        return self
+
+    def attempt_came(self, peer, words):
+        kind, after = self.behaviours[self.count % len(self.behaviours)]
+        self.count += 1
+        attempt = Attempt(self.network.seconds(), peer, kind)
+        client = self.clients[int(words[2], 16)]
+        self.judge_attempt(client, attempt)
+        client.attempts.append(attempt)
+        said = {"good": good(words), "late": good(words), "error": b"-ERR failed\r\n"}.get(kind, b"-BUSY\r\n")
+        if kind == "reset":
+            self.network.callLater(after / 1000, peer.transport.abortConnection)
+        elif kind in ("late", "late busy"):
+            self.network.callLater(after / 1000, self._answer, attempt, said)
+        elif kind != "hang":
+            self._answer(attempt, said)
+
+    def _answer(self, attempt, said):
+        if not attempt.peer.closed():
+            attempt.answered = True
+            attempt.peer.transport.write(said)
+
+    # --- the judge ---
+
+    def fault(self, client, text):
+        seen = [(round(each.at - client.sent_at, 4), each.kind, each.node.cell, each.node.zone) for each in client.attempts]
+        self.faults.append(f"request {client.number} ({client.effect}, {client.scope}): {text}; attempts before: {seen}")
+
+    def judge_attempt(self, client, attempt):
+        """An attempt against those before it, at the moment when its last byte comes to its node."""
+        before, node = client.attempts, attempt.node
+        if client.told["cell"] not in (-1, node.cell):
+            self.fault(client, f"sent to cell {node.cell}, its data is in {client.told['cell']}")
+        if client.got_at is not None and attempt.at > client.got_at + BETWEEN:
+            self.fault(client, "an attempt after its final answer")
+        if client.left_at is not None and attempt.at > client.left_at + GONE:
+            self.fault(client, f"an attempt {attempt.at - client.left_at:.3f} s after its client left")
+        if any(each.out() for each in before) and self.values.get("Limits.ParallelTries") is not True:
+            self.fault(client, "an attempt beside one that is still out")
+        if len(before) + 1 > int(self.values["Limits.MaxAttempts"]):
+            self.fault(client, f"attempt {len(before) + 1} is over the most")
+        ran = next((each for each in before if not each.proven_unrun()), None)
+        if ran is None or client.effect == "safe":
+            return
+        if client.effect == "unsafe":
+            self.fault(client, "a further attempt where one may have run")
+            return
+        if client.scope != "all" and getattr(ran.node, client.scope) != getattr(node, client.scope):
+            self.fault(client, f"a further attempt left its {client.scope}")
+        if attempt.at - ran.at > client.window:
+            self.fault(client, f"a further attempt {attempt.at - ran.at:.4f} s after the first, window {client.window} s")
+
+    def judge_answer(self, client):
+        """Exactly one final answer, in time and of a kind that what passed before it allows."""
+        reader, replies = codec.Replies(), []
+        reader.feed(client.got)
+        while (one := reader.next()) is not None:
+            replies.append(one[0])
+        if client.left_at is not None:
+            return
+        if len(replies) != 1 or reader.unread():
+            self.fault(client, f"{len(replies)} answers, {client.got[:80]!r}")
+            return
+        if client.got_at > client.sent_at + client.waits / 1000 + self.slack:
+            self.fault(client, f"answered after {client.got_at - client.sent_at:.4f} s of {client.waits} ms")
+        before = [each for each in client.attempts if each.at <= client.got_at]
+        if isinstance(replies[0], bytes):
+            made = any(each.answered and each.kind in ("good", "late") for each in before)
+            if not made or replies[0] != VALUE + b"%016x" % client.number:
+                self.fault(client, f"served with {replies[0]!r}, which no node gave for it")
+        elif client.got.startswith(b"-BUSY"):
+            ran = [each for each in before if not each.proven_unrun()]
+            if ran and client.effect != "safe" and (client.effect, client.scope) != ("keyed", "all"):
+                self.fault(client, "refused though an attempt may have run")
+
+    def judge_limits(self):
+        """Each volume's store: full at first; the first attempt of a request takes its units."""
+        taken = defaultdict(list)
+        for client in self.clients.values():
+            if client.attempts:
+                taken[client.told["plan"], client.volume()].append((client.attempts[0].at, client))
+        for (plan, _), drawn in taken.items():
+            at = f"Policies.{plan}."
+            rate, depth = float(self.values.get(at + "Limit", 0)), float(self.values.get(at + "CapDepth", 0))
+            slack = float(self.values.get(at + "LimitSlack", 0)) + rate * BETWEEN
+            store, last = depth, None
+            for when, client in sorted(drawn, key=lambda each: each[0]) if rate else ():
+                store = min(depth, store + rate * (when - (last if last is not None else when)))
+                store, last = store - client.told["units"], when
+                if store < -slack:
+                    self.fault(client, f"its volume's store is at {store:.3f}")
+
+    def judged(self):
+        for client in self.clients.values():
+            self.judge_answer(client)
+        self.judge_limits()
+        return self.faults
+
+
+def long_waits(day, effect="keyed"):
+    """Makes every class one whose requests there is time to repeat, and no client leave."""
+    for i in range(day["values"]["Classes.count"]):
+        at = f"Classes.{i}."
+        day["values"] |= {at + "Aim": 2500.0, at + "Deadline": 5000.0, at + "Effect": effect}
+    for request in day["requests"]:
+        request |= {"part": 1.0, "leaves": None, "units": 1}
+
+
+@st.composite
+def days_of_repeats(draw):
+    """Days of keyed requests that any storage node takes at first, on nodes that mostly fail."""
+    day = draw(days())
+    long_waits(day)
+    for i in range(day["values"]["Classes.count"]):
+        scope, window = draw(st.sampled_from(["cell", "zone", "all"])), draw(st.sampled_from([300.0, 700.0, 120.0, 50.0]))
+        day["values"] |= {f"Classes.{i}.KeyScope": scope, f"Classes.{i}.Window": window}
+    zones = [f"zone-{i}" for i in range(draw(st.integers(2, 4)))]
+    day["values"] |= {"Zones": zones, "Limits.MaxAttempts": draw(st.integers(3, 6))}
+    day["nodes"] = [(i % 3, zones[i % len(zones)]) for i in range(draw(st.integers(3, 8)))]
+    for request in day["requests"]:
+        request["cell"] = -1
+    failures = st.tuples(st.sampled_from(["error", "busy", "reset", "error", "hang"]), st.sampled_from([1, 10, 55]))
+    day["behaviours"] = draw(st.lists(failures, min_size=1, max_size=12))
+    return day
+
+
+@st.composite
+def days_of_limits(draw):
+    """Days on which one volume, all of which comes through this gateway, asks for more than its limit."""
+    day = draw(days())
+    day["requests"] = [dict(draw(st.sampled_from(day["requests"])), at=20 * i) for i in range(40)]
+    long_waits(day, draw(st.sampled_from(["safe", "keyed"])))
+    day["values"] |= {"Policies.0.Limit": draw(st.sampled_from([40.0, 20.0])), "Policies.0.CapDepth": 20.0}
+    for request in day["requests"]:
+        request |= {"plan": 0, "volume": 0, "hosts": 1, "units": draw(st.sampled_from([8, 2.5]))}
+    day["behaviours"] = [("good", 1)]
+    return day
+
+
+@FEW
+@given(day=days())
+def test_rules_hold_under_any_settings(day):
+    assert not World(day).run().judged()
+
+
+@FEW
+@given(day=days_of_repeats())
+def test_repeats_keep_to_their_window_and_group(day):
+    assert not World(day).run().judged()
+
+
+@FEW
+@given(day=days_of_limits())
+def test_limits_hold_where_one_gateway_has_all_of_a_volume(day):
+    assert not World(day).run().judged()
