Start settings without sense are refused by name, and never end in a traceback

Seen: figures that are no number, NaN, infinite, huge or below zero, and counts that are none, ended the process at its start with a traceback (ValueError, OverflowError from Gateway, Service, Host), used up memory (a count of 10**9), or were taken and failed a request later (Policies.N.Rate, Limits.MaxAttempts are read in service); an unknown effect was served as if it could be repeated. Excluded: missing keys, which MissingValue names already. Guilty: relay/start.py (parse) passed the map on unlooked at. It now checks every figure, count and choice that a gateway reads, and names the first bad one; other keys are not looked at, zeros are taken.

--- a/ochrecourse/relay/start.py
+++ b/ochrecourse/relay/start.py
@@ -7,10 +7,27 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+# The figures that a gateway reads; others are not looked at, for new keys may come. Each may be absent.
+FIGURES = re.compile(
+    r"Classes\.\d+\.(Aim|Deadline|Points|Window)"
+    r"|Policies\.\d+\.(CapDepth|Limit|Rate|Reserve|ValueFactor|Weight)"
+    r"|FamilyInfo\.(BeyondShare|ColdUnits|FairWorth|UnitsTop|UsualUnits)"
+    r"|Limits\.(DialTimeout|IdleClose|MaxAttempts|MaxOpen|MaxRetryAfter|Multiplex)"
+    r"|Safety\.(Cold|CountedOver|ExtraFloor|ExtraRatio|Fall|OrderSettle|OverloadFactor|StartCapacity)"
+    r"|Instances|Period"
+)
+COUNTS = re.compile(r"(Classes|Policies)\.count")
+CHOICES = {"Effect": ("safe", "keyed", "unsafe"), "KeyScope": ("all", "zone", "cell")}
+CHOSEN = re.compile(r"Classes\.\d+\.(Effect|KeyScope)")
+LARGEST = 1e12  # of any figure; 30 years in ms, and in ns still a number that a clock can hold
+MOST = 65_536  # classes or plans; the wire names them by 16 bits
+
 
 class BadStart(Exception):
     """The file is missing or not what the platform describes; the text says where."""
@@ -61,6 +78,31 @@
     raise BadStart(f"settings.{path} is of no known form")
 
 
+def check(values: Mapping[str, str]) -> None:
+    """Every figure and choice that is told is one a gateway can work with, so that none fails it in service.
+    Raises BadStart.
+    """
+    for path, told in values.items():
+        if FIGURES.fullmatch(path):
+            _check_figure(path, told)
+        elif COUNTS.fullmatch(path):
+            if not (told.isascii() and told.isdigit()) or int(told) > MOST:
+                raise BadStart(f"settings.{path} is not a whole number up to {MOST}: {told[:40]!r}")
+        elif found := CHOSEN.fullmatch(path):
+            known = CHOICES[found[1]]
+            if told not in known:
+                raise BadStart(f"settings.{path} is none of {', '.join(known)}: {told[:40]!r}")
+
+
+def _check_figure(path: str, told: str) -> None:
+    try:
+        figure = float(told)
+    except ValueError:
+        figure = math.nan
+    if not 0 <= figure <= LARGEST:  # no comparison holds for what is not a number
+        raise BadStart(f"settings.{path} is not a number from 0 to {LARGEST:.0e}: {told[:40]!r}")
+
+
 def place(text: Any, where: str) -> tuple[str, int]:
     """Host and port. Raises BadStart."""
     host, _, port = str(text).rpartition(":")
@@ -76,6 +118,8 @@
     limits = told.get("limits") or {}
     known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
     try:
+        values = flat(told["settings"])
+        check(values)
         return Start(
             name=str(told["name"]),
             listen=place(told["listen"], "listen"),
@@ -83,7 +127,7 @@
             seed=int(str(told["seed"]), 16),
             sockets=int(limits.get("sockets", 1024)),
             memory_mb=int(limits.get("memory_mb", 0)),
-            values=flat(told["settings"]),
+            values=values,
             known=known,
         )
     except KeyError as trouble:
--- a/tests/test_settings_of_others.py
+++ b/tests/test_settings_of_others.py
@@ -1,14 +1,21 @@
 """Settings unlike ours: short days on a virtual network, judged from what passed on the sockets alone."""
 
+import json
+import os
+import subprocess
+import sys
 from collections import defaultdict
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from test_service import FLAT
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from ochrecourse.interface import MissingValue
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.relay.service import Service
-from ochrecourse.relay.start import parse
+from ochrecourse.relay.start import BadStart, parse
 from ochrecourse.resp import codec
 from ochrecourse.standins.respnode import VALUE, ListAgent, RespNode, RespPeer, good
 
@@ -413,3 +420,79 @@
 @given(day=days_of_limits())
 def test_limits_hold_where_one_gateway_has_all_of_a_volume(day):
     assert not World(day).run().judged()
+
+
+# --- start settings that are odd ---
+
+
+FIGURES = [
+    "Classes.0.Aim", "Classes.1.Window", "Classes.1.Points", "Classes.0.Deadline", "Limits.DialTimeout",
+    "Limits.IdleClose", "Limits.MaxOpen", "Limits.MaxAttempts", "Limits.MaxRetryAfter", "Instances", "Period",
+    "Safety.Cold", "Safety.Fall", "Safety.StartCapacity", "Safety.ExtraRatio", "FamilyInfo.UsualUnits",
+    "FamilyInfo.ColdUnits", "FamilyInfo.FairWorth", "Policies.0.Rate", "Policies.1.Limit", "Policies.1.CapDepth",
+]  # fmt: skip
+NO_FIGURE = [-5, -0.1, 1e300, 1e308, 10**400, float("nan"), float("inf"), float("-inf"), "abc", True, [1, 2]]
+ODD = {
+    "no aim": ({"Classes.1.Aim": ...}, "Classes.1.Aim"), "no count": ({"Classes.count": ...}, "Classes.count"),
+    "no effect": ({"Classes.0.Effect": ...}, "Classes.0.Effect"),
+    "a count of words": ({"Classes.count": "abc"}, "Classes.count"),
+    "a broken count": ({"Classes.count": 3.5}, "Classes.count"),
+    "a count below zero": ({"Classes.count": -1}, "Classes.count"),
+    "a huge count": ({"Classes.count": 10**9}, "Classes.count"),
+    "a huge count of plans": ({"Policies.count": 10**9}, "Policies.count"),
+    "an unknown effect": ({"Classes.2.Effect": "perhaps"}, "Classes.2.Effect"),
+    "an unknown group": ({"Classes.1.KeyScope": "moon"}, "Classes.1.KeyScope"),
+}  # fmt: skip
+
+
+def start_file(changes):
+    """A start file's object with some settings changed; `...` takes one out. It goes through JSON as a file does."""
+    changed = {name: told for name, told in {**FLAT, **changes}.items() if told is not ...}
+    told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "0f", "settings": changed}
+    return json.loads(json.dumps(told))
+
+
+def begin(changes):
+    network = VirtualNetwork(1)
+    Service(parse(start_file(changes)), "none", network, 10**18, lambda text: None, lambda: None).serve()
+    network.advance(0.1)
+
+
+@pytest.mark.parametrize("odd", ODD)
+def test_settings_without_sense_are_refused_by_their_name(odd):
+    changes, name = ODD[odd]
+    with pytest.raises((BadStart, MissingValue)) as refused:
+        begin(changes)
+    assert name in str(refused.value) and "\n" not in str(refused.value) and len(str(refused.value)) < 200
+
+
+@pytest.mark.parametrize("name", FIGURES)
+def test_figures_that_are_none_are_refused_by_their_name(name):
+    for told in NO_FIGURE:
+        with pytest.raises((BadStart, MissingValue)) as refused:
+            begin({name: told})
+        assert name in str(refused.value) and "\n" not in str(refused.value) and len(str(refused.value)) < 200
+
+
+@pytest.mark.parametrize("name", FIGURES)
+def test_figures_of_zero_are_taken(name):
+    # Guards against a check that refuses what the protocol page allows: a zero often says that there is none.
+    begin({name: 0})
+    begin({name: 0.0})
+
+
+def test_what_a_gateway_does_not_read_is_not_looked_at():
+    begin({"Classes.0.Novelty": -7, "Limits.NewOne": float("nan"), "Later": "x", "Classes.0.Name": "nan"})
+
+
+@pytest.mark.parametrize("changes", [{"Classes.1.Aim": ...}, {"Period": float("nan")}, {"Policies.0.Rate": -1}])
+def test_process_ends_with_one_sentence_and_code_2(changes, tmp_path):
+    path = tmp_path / "start.json"
+    path.write_text(json.dumps(start_file(changes)))
+    ended = subprocess.run(
+        [sys.executable, "-m", "ochrecourse.relay"], env={**os.environ, "RELAY_CONFIG": str(path)},
+        capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    assert ended.returncode == 2 and ended.stdout == ""
+    said = ended.stderr.splitlines()
+    assert len(said) == 1 and "settings" in said[0] and next(iter(changes)) in said[0]
