--- a/tests/test_settings_of_others.py
+++ b/tests/test_settings_of_others.py
@@ -422,6 +422,19 @@
     assert not World(day).run().judged()
 
 
+@FEW
+@given(day=days_of_repeats(), late=st.lists(st.sampled_from([0.0, 0.02, 0.1, 0.3, 1.0, 1.5]), min_size=1, max_size=6))
+def test_rules_hold_when_connections_to_nodes_come_up_late(day, late):
+    """Guards against an attempt decided in time and written once its connection is up, when it is too late."""
+    assert not World(day, late).run().judged()
+
+
+@FEW
+@given(day=days(), late=st.lists(st.sampled_from([0.0, 0.02, 0.1, 0.3, 1.0, 1.5]), min_size=1, max_size=6))
+def test_rules_hold_under_any_settings_when_connections_come_up_late(day, late):
+    assert not World(day, late).run().judged()
+
+
 # --- start settings that are odd ---
 
 
