--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -168,8 +168,8 @@
         sure = self.number("FamilyInfo.ColdUnits", 0.0) or self.usual_units
         least = max(0.01, self.number("Safety.StartCapacity", 1.0))
         self.cold_units, self.warming = sure / self.gateways, max(0.0, 1 / least - 1)
-        few = sure / self.usual_units  # requests that are sure: N, of which chance gets less
-        self.likely = min(1.0, ((DEVIATIONS**2 / 4 + few + 2 * few**0.5 + 2) ** 0.5 - DEVIATIONS / 2) ** 2 / few)
+        n = sure / self.usual_units  # requests that are sure, of which chance gets less
+        self.likely = min(1.0, ((DEVIATIONS**2 / 4 + n + 2 * n**0.5 + 2) ** 0.5 - DEVIATIONS / 2) ** 2 / n)
         self.bears = least * max(1.0, self.number("Safety.OverloadFactor", 1.0))  # of what it does when warm
         self.load, self.load_at = self.cold_units * COUNTED / (max(1, self.fall) * self.bears), now
         self.edge = 2 * round(self.number("Period", 1.0) * MS)
