--- a/ochrecourse/lab/virtual.py
+++ b/ochrecourse/lab/virtual.py
@@ -305,6 +305,7 @@
         self.frozen = False  # this end's process stands still: nothing is read, as with a stopped process
         self.shut = False  # this end's sending side is shut, behind what is on its way
         self.end_told = False  # and the other end has read that
+        self.aborted = False  # this end was cut, and does not wait for what is on its way
         self.reset = False  # a reset came, which an end that does not read has not noticed
 
     # --- writing ---
@@ -341,7 +342,8 @@
     def abortConnection(self) -> None:
         if not self.lost:
             self.on_way.clear()
-            self._close(reset=True)
+            self.aborted = True
+            self._close()
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         self.producer = producer
@@ -510,7 +512,7 @@
         if self.producer is not None and not self.lost and not self.producer_paused:
             self.producer.resumeProducing()
 
-    def _close(self, reset: bool = False) -> None:
+    def _close(self) -> None:
         if self.lost:
             return
         self.lost = True
@@ -518,14 +520,14 @@
             done = Failure(error.ConnectionDone())
             self.network.later(self.home, 0, self.protocol.connectionLost, done)
         if self.network.tcp:
-            self._close_as_tcp(reset)
+            self._close_as_tcp()
         elif self.peer is not None and not self.peer.lost:
             self.network.later(self.peer.home, self.network.delay(), self.peer._peer_closed)
 
-    def _close_as_tcp(self, reset: bool) -> None:
+    def _close_as_tcp(self) -> None:
         if self.peer is None or self.peer.lost:
             return
-        if reset or self.peer.on_way:
+        if self.aborted or self.peer.on_way:
             self.on_way.clear()
             self.peer.on_way.clear()
             self.network.later(self.peer.home, self.network.delay(), self.peer._was_reset)
--- a/tests/transcripts/transcript.py
+++ b/tests/transcripts/transcript.py
@@ -184,6 +184,7 @@
         self.events, self.places, self.connections, self.dialled = [], {}, [], None
         tap, connect, made = self, VirtualNetwork._connect, VirtualTransport.__init__
         write, close = VirtualTransport.write, VirtualTransport._close
+        shut = VirtualTransport.loseWriteConnection
 
         def connecting(network, home, host, port, *more):
             ways = sum(each.port == port for each in tap.connections)
@@ -207,10 +208,16 @@
                 tap.events.append((transport.network, transport.network.now, *transport.tapped, "ends the connection"))
             close(transport)
 
+        def shutting(transport):
+            if not (transport.lost or transport.disconnecting or transport.shut):
+                tap.events.append((transport.network, transport.network.now, *transport.tapped, "ends its sending side"))
+            shut(transport)
+
         monkeypatch.setattr(VirtualNetwork, "_connect", connecting)
         monkeypatch.setattr(VirtualTransport, "__init__", making)
         monkeypatch.setattr(VirtualTransport, "write", writing)
         monkeypatch.setattr(VirtualTransport, "_close", closing)
+        monkeypatch.setattr(VirtualTransport, "loseWriteConnection", shutting)
 
     def place(self, port, server, client, talk):
         """Who listens at a port, who dials it, and how they talk."""
