--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -360,6 +360,13 @@
     assert passed(HEAVY, TOLD + age * SECOND) == pytest.approx(share, abs=0.08)
 
 
+def test_nothing_is_left_to_chance_where_the_part_holds_a_usual_request():
+    for seed in range(50):
+        host = begin(gateway(gateways=20, seed=seed))
+        host.load, host.load_at, host.bears = HEAVY, TOLD, 0.0
+        assert ask(host, 1, TOLD) == [Leg]
+
+
 def test_what_was_asked_counts_less_the_longer_ago_it_was():
     host = begin(gateway())
     host.load, host.load_at = 10.0, TOLD
