--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -723,7 +723,7 @@
     def _spared(self, node: Node) -> bool:
         """Guards against pushing over a cold node, all gateways together: chance lets go what it bears of
         what is asked where warm nodes are not overloaded, or this one's part of the sure figure."""
-        if self.now >= node.cold_until or self.cold_units >= self.usual_units:  # `_too_cold` holds the sum then
+        if self.now >= node.cold_until or self.cold_units >= self.usual_units:  # `_too_cold` holds it
             return False
         warmer = 1 + self.warming * max(0.0, 1 + (self.now - node.cold_until) / self.cold_span) ** 2
         share = max(self.bears, self.cold_units * COUNTED / (max(1, self.fall) * self.load))
