Purges: edges with new disks that saw each other no longer wait for each other

Cause: under load g0, g2 and g4 were heard after g1, g3 and g5 had begun the site. g2 and g4 became whole by the word of the others, and each wrote that it `saw` the other before it had heard that it was whole. SiteCalendar._waits had whoever saw an edge with a new disk take an edition (written up to `notice` after) only after that edge: g2 waited for g4, g4 for g2, the others for both, for ever.

Change: an edge that is whole counted only on who saw it before it said so. Stamps follow what is heard, so a `saw` with a later stamp than the `whole` can't be one of these, and does not make its writer wait. Waits that remain always lead to an edge that became whole later, so they have no circle.

--- a/ochrecourse/fleet/calendar.py
+++ b/ochrecourse/fleet/calendar.py
@@ -29,7 +29,7 @@
 
 import msgspec
 
-from ochrecourse.fleet.entries import Entry, Place
+from ochrecourse.fleet.entries import Entry, Place, Stamp
 
 EDITIONS = 64  # editions of a site that are kept; older ones that no longer matter go
 INSTANTS = 20_000  # of one edition; what a body of 1 MiB would hold
@@ -37,6 +37,7 @@
 NAME = 64  # characters of a rule's, a site's or an edge's name
 FAR = 1 << 62  # ms; later than any stamp
 LONG_AGO = -1  # ms; before any stamp
+NEVER = Stamp(FAR, 0)
 
 EditionId = tuple[str, int, int]  # writer, its life, sequence: the entry that brought it
 LifeId = tuple[str, int]  # an edge, and the life that began with a new disk
@@ -194,7 +195,8 @@
         self.missing: dict[EditionId, list[tuple[str, int, int]]] = {}
         self.new: dict[str, tuple[int, int]] = {}  # by edge: its last life with a new disk, stamp in ms
         self.whole: dict[str, tuple[int, bool]] = {}  # the last of those that is whole; as the site began
-        self.saw: dict[tuple[str, str], tuple[int, int]] = {}  # by who and whom: the life seen, stamp in ms
+        self.whole_at: dict[LifeId, Stamp] = {}  # of each life that is whole, when it first said so
+        self.saw: dict[tuple[str, str], tuple[int, Stamp]] = {}  # by who and whom: the life seen, and when
         self.began: dict[LifeId, list[LifeId]] = {}  # by each that was new as the site began: all of them
         self.gone: dict[EditionId, None] = {}  # forgotten, the oldest first
         self.first: dict[str, int] = {}  # by edge, the first stamp at which it took any edition, in ms
@@ -260,15 +262,18 @@
             self.new[entry.writer] = max((entry.life, entry.at.ms), self.new.get(entry.writer, (0, 0)))
         elif body["what"] == "saw":
             edge, life = _life_of(body.get("of"))
-            seen = self.saw.get((entry.writer, edge), (LONG_AGO, 0))
-            self.saw[entry.writer, edge] = max(seen, (life, entry.at.ms))
+            seen = self.saw.get((entry.writer, edge), (LONG_AGO, entry.at))
+            self.saw[entry.writer, edge] = max(seen, (life, entry.at))
         else:
             with_ = body.get("with")
             if not isinstance(with_, list) or len(with_) > len(self.edges):
                 raise BadEdition("`whole` names the lives that began with it")
             began = [_life_of(each) for each in with_]
+            life = _whole(body.get("life"), "a life")
             known = self.whole.get(entry.writer, (LONG_AGO, False))
-            self.whole[entry.writer] = max(known, (_whole(body.get("life"), "a life"), bool(began)))
+            self.whole[entry.writer] = max(known, (life, bool(began)))
+            said = self.whole_at.get((entry.writer, life), NEVER)
+            self.whole_at[entry.writer, life] = min(said, entry.at)
             for each in began:
                 self.began.setdefault(each, began)
         for held in self.held.values():
@@ -358,11 +363,14 @@
 
     def _waits(self, edge: str, held: _Held) -> bool:
         """Whether an edge may not take an edition yet: one that it has seen with a new disk may have taken
-        it before, and must know it again first.
+        it before, and must know it again first. It counted on nobody who saw it after it was whole: then
+        nobody waits, so two edges that saw each other with new disks at once do not wait for each other.
         """
-        for (who, other), (life, ms) in self.saw.items():
+        for (who, other), (life, at) in self.saw.items():
             lost = self._lost(other) if who == edge else None
-            old = lost is not None and lost[0] == life and held.edition.place.at.ms <= ms + self.notice
+            if lost is None or lost[0] != life or self.whole_at.get((other, life), NEVER) < at:
+                continue
+            old = held.edition.place.at.ms <= at.ms + self.notice
             if old and held.lives.get(other, (0, LONG_AGO))[1] < life:
                 return True
         return False
@@ -370,7 +378,7 @@
     def to_see(self, edge: str) -> LifeId | None:
         """An edge with a new disk that is not whole yet, and that this edge has not said to have seen."""
         for other, (life, _) in sorted(self.new.items()):
-            seen = self.saw.get((edge, other), (LONG_AGO, 0))[0]
+            seen = self.saw.get((edge, other), (LONG_AGO, NEVER))[0]
             if other != edge and not self.is_whole(other) and seen < life:
                 return other, life
         return None
@@ -394,8 +402,8 @@
             return lives
         told = 0
         for edge in fresh:
-            seen, at = self.saw.get((edge, own), (LONG_AGO, 0))
-            told += edge != own and seen == life and self.promises.get(edge, LONG_AGO) >= at
+            seen, at = self.saw.get((edge, own), (LONG_AGO, NEVER))
+            told += edge != own and seen == life and self.promises.get(edge, LONG_AGO) >= at.ms
         # With any more than half less itself so many others have one in common.
         enough = told > len(self.edges) - self.most
         return [] if enough and not self.missing and self.to_take(own) is None else None
--- a/tests/test_calendar_disks.py
+++ b/tests/test_calendar_disks.py
@@ -145,3 +145,50 @@
 @pytest.mark.parametrize("mistake", [Trusts, BeginsByOne, TakesLate])
 def test_the_orders_find_each_seeded_mistake(mistake):
     assert explored(mistake, "a" if mistake is TakesLate else "b") is False
+
+
+SIX = ("a", "b", "c", "d", "e", "f")
+BEGAN = [[name, 1] for name in SIX[:4]]
+
+
+def site_of_six(*events):
+    """What all edges hold after these events, (writer, body), written in this order; four of them began the site."""
+    told = SiteCalendar("s", SIX, 0)
+    began = [(name, {"what": "new"}) for name in SIX]
+    began += [(name, {"what": "whole", "life": 1, "with": BEGAN}) for name in SIX[:4]]
+    for turn, (writer, body) in enumerate([*began, *events]):
+        told.event(Entry("calendar/s", writer, 1, turn, Stamp(1, turn), (), msgspec.json.encode(body)))
+    return told
+
+
+def saw(writer, of):
+    return writer, {"what": "saw", "of": [of, 1]}
+
+
+def whole(writer):
+    return writer, {"what": "whole", "life": 1, "with": []}
+
+
+SEEN_BY_THREE = [saw(name, of) for name in SIX[:3] for of in ("e", "f")]
+EDITION = ("a", BODY)
+
+
+def test_two_edges_that_saw_each_other_with_new_disks_at_once_both_take_an_edition():
+    """Guards against edges that wait for each other, so that an edition never comes into force and nobody purges.
+
+    Neither of `e` and `f` had heard yet that the other is whole, which counted on three others.
+    """
+    told = site_of_six(*SEEN_BY_THREE, whole("e"), whole("f"), saw("e", "f"), saw("f", "e"), EDITION)
+    assert told.to_take("e") is not None and told.to_take("f") is not None
+    assert told.to_take("a") is None  # whom both of them counted on, waits for them
+
+
+def test_an_edge_that_was_seen_before_it_was_whole_must_take_an_edition_first():
+    """`f` may have counted on `e`, although it names nobody."""
+    told = site_of_six(*SEEN_BY_THREE, whole("e"), saw("e", "f"), whole("f"), EDITION)
+    assert told.to_take("e") is None and told.to_take("f") is not None
+
+
+def test_an_edge_that_is_not_known_to_be_whole_must_take_an_edition_first():
+    told = site_of_six(*SEEN_BY_THREE, whole("e"), saw("e", "f"), EDITION)
+    assert told.to_take("e") is None
