--- a/ochrecourse/audit/together.py
+++ b/ochrecourse/audit/together.py
@@ -368,13 +368,17 @@
     records: Iterable[r.Record], moments: Mapping[str, int], slack: int, products: set[str]
 ) -> Finding:
     """No client is given after its edge's moment (by gateway, ns) what a node made before it. `slack`: ns
-    that an answer may be on its way; one asked for after the moment has none.
+    that an answer may be on its way; one asked for after the moment has none. While a gateway's process
+    stands still, what its node made for a read is on its way to it.
     """
     finding = Finding("no answer after the moment rests on a copy from before it")
     asked: dict[tuple[str, int, int], r.Asked] = {}
+    stops: dict[str, list[r.Stopped]] = defaultdict(list)
     for each in records:
         if isinstance(each, r.Asked):
             asked[each.gateway, each.conn, each.id] = each
+        elif isinstance(each, r.Stopped):
+            stops[each.gateway].append(each)
     for each in records:
         if not isinstance(each, r.Told) or not each.made or each.gateway not in moments:
             continue
@@ -382,7 +386,9 @@
         if job is None or job.product not in products or each.t < at:
             continue
         finding.tested += 1
-        if each.made < at and (job.t >= at or each.t > at + slack):
+        fetched = job.t <= each.made
+        still = _stood_still(stops[each.gateway], at, each.t) if fetched else 0
+        if each.made < at and (job.t >= at or each.t > at + slack + still):
             finding.breach(
                 each.t,
                 f"{each.gateway} answered {each.trace} {(each.t - at) / MS:.0f} ms after the moment "
@@ -391,6 +397,18 @@
     return finding
 
 
+def _stood_still(stops: Sequence[r.Stopped], since: int, until: int) -> int:
+    """For how many ns of a span a gateway's process stood still."""
+    total, began = 0, None
+    for each in sorted(stops, key=lambda stop: stop.t):
+        if not each.on:
+            began = each.t
+        elif began is not None:
+            total += max(0, min(each.t, until) - max(began, since))
+            began = None
+    return total
+
+
 def from_copies(records: Iterable[r.Record]) -> int:
     """Answers that carry the time of one that a client got before: reads that no node was asked for."""
     made = [each.made for each in records if isinstance(each, r.Told) and each.made]
--- a/ochrecourse/cli/together.py
+++ b/ochrecourse/cli/together.py
@@ -93,7 +93,7 @@
     verdict = audit(figures, records)
     beyond = came(this, records, read_held(run.folder / "seen.jsonl"), run.load.outcomes.payoff(), alone)
     findings = [*verdict.findings, *beyond.findings]
-    open_jobs = len(run.calls) - sum(run.load.outcomes.endings.values())
+    open_jobs = len(run.load.calls) - sum(run.load.outcomes.endings.values())
     if open_jobs:
         told["troubles"] = [*told["troubles"], f"{open_jobs} jobs without an end"]
     told["rules"] = [{"rule": e.rule, "tested": e.tested, "breaches": e.breaches} for e in findings]
--- a/ochrecourse/lab/load.py
+++ b/ochrecourse/lab/load.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -408,11 +408,26 @@
         """Starts the schedule now."""
         self.calls = calls
         self.began = self.network.seconds()
+        self._count_due(calls)
+        self._send_due()
+
+    def go_on(self, span: float) -> None:
+        """Plays the last `span` seconds of the schedule again, as further jobs, once it is over."""
+        last = self.day.length_s - span
+        shift = self.network.seconds() - self.began - last
+        again = [replace(call, at=call.at + shift) for call in self.calls if call.at >= last]
+        for number, call in enumerate(again, len(self.calls)):
+            call.number = number
+        self.calls = self.calls + again
+        self.done = False
+        self._count_due(again)
+        self._send_due()
+
+    def _count_due(self, calls: list[Call]) -> None:
         for call in calls:
             worth = self.worth(call)
             self.outcomes.due += worth
             self.outcomes.due_by[self.day.plans[call.volume.plan].name] += worth
-        self._send_due()
 
     def stop(self) -> None:
         for lines in self.lines.values():
--- a/ochrecourse/lab/worse_timing_play.py
+++ b/ochrecourse/lab/worse_timing_play.py
@@ -5,16 +5,21 @@
 import datetime as dt
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 from zoneinfo import ZoneInfo
 
 from ochrecourse.audit import records as r
 from ochrecourse.fleet import almanac
+from ochrecourse.lab.play import TAIL
 from ochrecourse.lab.together_play import Gate, TogetherPlay
 from ochrecourse.lab.worse_timing import CLOSES, NIGHT, Closes, Site, SiteStep
 from ochrecourse.outside import MS, now_ns
 
+AFTER = 4.0  # s of reads behind the day's own, once all edges use copies again; some 20 of each object
+WAIT = 0.25  # s between looks whether they do
+LONGEST = 60.0  # s that this may take on a loaded host
 DAYS = 60  # that an edition reaches, as the settings have it: a shorter one is renewed by them at once
 
 
@@ -40,6 +45,9 @@
         self.closing = this
         self.shift = round(NIGHT.timestamp() * 1000 - time.time() * 1000)  # ms, of all wall clocks
         self.off: dict[str, float] = {}
+        self.waited = 0.0  # s, for copies to be used again
+        self.sure: set[str] = set()  # edges that use copies
+        self.reads_on = False  # more reads follow those of the day
         super().__init__(this, reactor, folder, over, alone)
 
     def place(self, index: int) -> Gate:
@@ -81,5 +89,36 @@
                 self._edition_told, do="append", channel=f"calendar/{site.name}", value=body
             )
 
+    # --- the end: how long edges take to start and to hear each other is the host's affair ---
+
+    def served(self) -> None:
+        over = self.load.done and self.reads_on
+        if self.alone or self.ended or self.ending or over:
+            super().served()
+        elif not self.waited:
+            self._look_for_copies()
+
+    def _look_for_copies(self) -> None:
+        """Waits until all edges use copies again, or as long as that may take."""
+        if self.ending:
+            return
+        if len(self.sure) == len(self.places) or self.waited >= LONGEST:
+            self._read_on()
+            return
+        self.waited += WAIT
+        for place in self.places:
+            place.ear.ask(partial(self._copies_told, place.name), do="fleet")
+        self.reactor.callLater(WAIT, self._look_for_copies)
+
+    def _copies_told(self, name: str, answer: dict[str, Any] | None) -> None:
+        if answer is not None and answer.get("purges", {}).get("sure"):
+            self.sure.add(name)
+
+    def _read_on(self) -> None:
+        """The day's last reads once more; it ends when they are over."""
+        self.reads_on = True
+        self.load.go_on(AFTER)
+        self.reactor.callLater(AFTER + TAIL, super().served)
+
     def all_settled(self, counts: dict[str, int]) -> bool:
         return all(counts[f"purges/{site.name}"] >= len(site.edges) for site in self.closing.sites)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -324,6 +324,25 @@
     assert bool(finding.breaches) is broken and finding.tested == (told > 10)
 
 
+@pytest.mark.parametrize(
+    "asked, told, made, broken",
+    [
+        (8.9, 12.2, 9.0, False),  # its node answered, and the process stood still with the answer
+        (8.9, 12.3, 9.0, True),  # it ran long enough since
+        (9.2, 12.1, 9.0, True),  # a copy from before it was asked for
+        (10.1, 12.1, 9.9, True),  # asked for after the moment
+    ],
+)
+def test_what_a_node_made_is_on_its_way_while_the_process_stands_still(asked, told, made, broken):
+    records = [
+        r.Asked(t=round(asked * S), gateway="g0", conn=1, id=1, trace="1.0", product="p", plan="", volume=1, key=7, units=1, timeout=S),
+        r.Stopped(t=round(9.5 * S), gateway="g0"),
+        r.Stopped(t=12 * S, gateway="g0", on=True),
+        r.Told(t=round(told * S), gateway="g0", conn=1, id=1, trace="1.0", how="fulfilled", made=round(made * S)),
+    ]  # fmt: skip
+    assert bool(seen.old_answers(records, {"g0": 10 * S}, S // 4, {"p"}).breaches) is broken
+
+
 # --- the days ---
 
 
