Decisions wait for what stands unread after a long turn, also when no timer is due

Cause: a request read in a turn of the loop that had taken 0.15 s so far was sent on at once, though its client's close stood behind it since before the turn. Gateway._overdue sees a long turn only by a timer of the decisions that falls due in it; here the next one was a second away. Forced on real sockets: a reader that moves the loop's clock on by 0.15 s, then the request with the end behind it, all ready before the turn. Excluded by trying: an answer that frees a node's place (the decisions sent nothing in that turn).

Change: the reactor's poller is watched (steady.unread_since): what may stand unread is as old as the third last poll that came back at once, or as the last one that waited (turns.py, free of I/O). Where that is over 50 ms, half of the 0.1 s in which a client's end must be heeded, Gateway lets three turns pass before it decides: the rest of this one, one for bytes, one for the end behind them. It then decides whatever the turns took, so a loop that is always slow is not held up for ever.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -30,6 +30,7 @@
 from ochrecourse.outside import MS, SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
 TURNS_BEHIND = 2  # of the loop: one reads a connection's bytes, the next the end that stands behind them
+UNREAD = 50 * MS  # half of the 0.1 s in which a client's end must be heeded; the rest is for the way
 SLOW_DIAL = 0.1  # of the shortest promised time, after which a dial is slow; leaves time for a second one
 
 
@@ -151,9 +152,11 @@
         observers: Sequence[Observer] = (),
         decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
         limits: PoolLimits | None = None,
+        unread_since: Callable[[], int] | None = None,
     ) -> None:
         """`travel`: ns that an answer takes to its client; `decisions`: what makes the host's decisions;
-        `limits`: of connections, if the map's own are not meant."""
+        `limits`: of connections, if the map's own are not meant; `unread_since`: the clock's time since when
+        something may stand unread, where the loop knows (turns.py)."""
         self.name = name
         self.clock = clock
         self.mark = (
@@ -190,7 +193,8 @@
         self.last = 0  # ns; every job taken from now on must have its answer by then; 0: no such time
         self._count = 0
         self._pulling = False
-        self._catching_up = 0  # turns of the loop until what stood unread when a timer came late is known
+        self._unread_since = unread_since
+        self._catching_up = 0  # turns of the loop until what stood unread after a long turn is known
         self._timer: Timer | None = None
         self._due = 0
 
@@ -404,7 +408,16 @@
 
     def _pull(self) -> None:
         """Carries out decisions until there are none; reports made meanwhile are seen by the same loop."""
-        if self._pulling or self._catching_up or self._overdue() or self.leaving.stage is Stage.LEFT:
+        if self._pulling or self._catching_up:
+            return
+        if self._behind():
+            # The rest of this turn is read first, and then as after a late timer.
+            self._catch_up(TURNS_BEHIND + 1)
+            return
+        self._decide()
+
+    def _decide(self) -> None:
+        if self._overdue() or self.leaving.stage is Stage.LEFT:
             return
         self._pulling = True
         try:
@@ -426,6 +439,10 @@
             self._due = max(due, now)
             self._timer = self.clock.callLater((self._due - now) / SECOND, self._woke)
 
+    def _behind(self) -> bool:
+        """Whether a client may have gone for some time, unseen, for the loop's turns take long."""
+        return self._unread_since is not None and now_ns(self.clock) - self._unread_since() > UNREAD
+
     def _overdue(self) -> bool:
         """Whether the loop's turn took so long that the timer is late, which then sees to what is unread."""
         return self._timer is not None and now_ns(self.clock) - self._due > TRIFLE
@@ -435,19 +452,24 @@
         if self.lateness.timer_came(self._due, now_ns(self.clock)):
             # A loop calls its timers before it reads. What stands unread after a long turn is reported first:
             # a request whose client has closed by now must not be sent on.
-            self._catching_up = TURNS_BEHIND
-            self.clock.callLater(0, self._turned)
+            self._catch_up(TURNS_BEHIND)
             return
         self._pull()
 
+    def _catch_up(self, turns: int) -> None:
+        """Decides nothing until the loop has turned so often."""
+        if not self._catching_up:
+            self.clock.callLater(0, self._turned)
+        self._catching_up = max(turns, self._catching_up)
+
     def _turned(self) -> None:
-        """The loop has read once more since a timer came late."""
+        """The loop has read once more since a long turn."""
         self.lateness.turned()
         self._catching_up -= 1
         if self._catching_up:
             self.clock.callLater(0, self._turned)
         else:
-            self._pull()
+            self._decide()
 
     def _send(self, said: Leg, now: int) -> None:
         story = self.ledger.send(said.job, said.number, said.node, now)
--- a/ochrecourse/relay/run.py
+++ b/ochrecourse/relay/run.py
@@ -15,7 +15,7 @@
 from ochrecourse.relay.service import Service
 from ochrecourse.relay.signals import Signals
 from ochrecourse.relay.start import BadStart
-from ochrecourse.steady import Collector, SteadyPort, raise_files, steady_reactor
+from ochrecourse.steady import Collector, SteadyPort, raise_files, steady_reactor, unread_since
 
 
 def log(text: str) -> None:
@@ -35,7 +35,8 @@
         start.sockets = min(start.sockets, files)  # neither limit may be passed
         reactor = steady_reactor(SteadyPort)
         globalLogBeginner.beginLoggingTo([cast(Any, _observe)], redirectStandardIO=False, discardBuffer=True)
-        service = Service(start, path, reactor, time.time_ns(), log, reactor.stop)
+        since = unread_since(reactor)
+        service = Service(start, path, reactor, time.time_ns(), log, reactor.stop, since)
         if signals.asked_to_end():
             log("told to end before it served")
             return 0
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -54,8 +54,9 @@
         unix_ns: int,
         log: Callable[[str], None],
         over: Callable[[], None],
+        unread_since: Callable[[], int] | None = None,
     ) -> None:
-        """`unix_ns`: Unix time now. Raises BadStart."""
+        """`unix_ns`: Unix time now; `unread_since`: as a gateway's. Raises BadStart."""
         self.path = path
         self.network = network
         self.log = log
@@ -66,8 +67,9 @@
         idle_ns = round(idle * MS / IDLE_PART)
         limits = PoolLimits(legs=1, connections=nodes, dials=DIALS, idle=idle_ns, total=nodes)
         self.gateway = Gateway(
-            values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits
-        )
+            values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits,
+            unread_since=unread_since,
+        )  # fmt: skip
         self.front = RespFrontFactory(self.gateway, network, Kinds(values), clients, start.sockets // ROOMY)
         self.gateway.observers = [self.front]
         zones = [each for each in values.get("Zones", "").split(",") if each]
--- a/ochrecourse/steady.py
+++ b/ochrecourse/steady.py
@@ -13,6 +13,9 @@
 from twisted.internet.main import CONNECTION_DONE, installReactor
 from twisted.python.failure import Failure
 
+from ochrecourse.outside import now_ns
+from ochrecourse.turns import Turns
+
 FULL = 0.02  # s in which a port that can accept nothing is not asked again; its clients wait in the kernel
 
 
@@ -69,6 +72,37 @@
             self._pause = None
 
 
+class TimedPoller:
+    """A reactor's poller, whose polls are told to `turns`."""
+
+    def __init__(self, poller: Any, reactor: Any, turns: Turns) -> None:
+        self.poller = poller
+        self.reactor = reactor
+        self.turns = turns
+
+    def poll(self, timeout: float, most: int) -> Any:
+        began = now_ns(self.reactor)
+        try:
+            return self.poller.poll(timeout, most)
+        finally:
+            self.turns.polled(began, now_ns(self.reactor), timeout != 0)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.poller, name)
+
+
+def unread_since(reactor: Any) -> Callable[[], int] | None:
+    """Tells since when something may stand unread in a reactor's loop, ns by its clock; None if it has no
+    poller that can be watched.
+    """
+    poller = getattr(reactor, "_poller", None)  # Twisted has no public place from which a poll can be seen
+    if poller is None:
+        return None
+    turns = Turns()
+    reactor._poller = TimedPoller(poller, reactor, turns)
+    return turns.unread_since
+
+
 def make_reactor(port_type: type[tcp.Port] = tcp.Port) -> Any:
     """A reactor that is not the process's; `steady_reactor` makes and installs that. `port_type`: what it
     listens with.
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -12,12 +12,15 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from ochrecourse.decide import SECOND
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.relay.service import Service, shares
 from ochrecourse.relay.start import parse
 from ochrecourse.resp import codec, connection, front
 from ochrecourse.resp.closing import DRAIN, LINGER
 from ochrecourse.standins.respnode import ListAgent, RespNode, good
+from ochrecourse.steady import unread_since
+from ochrecourse.turns import POLLS, WAITED, Turns
 
 PATIENCE = 60_000  # ms that the system may take for anything here; no verdict depends on it
 ENDLESS = 10_000  # turns after which a test that waits for something has failed
@@ -30,6 +33,7 @@
     def __init__(self):
         self.now = 1000.0
         super().__init__()
+        self.unread_since = unread_since(self)
 
     def seconds(self):
         return self.now
@@ -71,7 +75,9 @@
             "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.agent_port}", "seed": "0f",
             "limits": {"sockets": sockets}, "settings": {**FLAT, **changes}, "known": listed(self.node_port),
         }  # fmt: skip
-        self.service = Service(parse(told), "none", self.loop, 10**18, self.log.append, lambda: self.over.append(1))
+        self.service = Service(
+            parse(told), "none", self.loop, 10**18, self.log.append, lambda: self.over.append(1), self.loop.unread_since
+        )
         self.front = self.service.front
         self.port = self.service.serve()[1]
         self.loop.until(lambda: self.agent.watches)
@@ -389,6 +395,74 @@
     assert here.service.gateway.ledger.legs == 2 and here.open == 1
 
 
+class Slow:
+    """A part of the loop's turn that takes long: it is read like a connection, and then the clock has moved on."""
+
+    def __init__(self, loop, seconds):
+        self.loop, self.seconds = loop, seconds
+        self.ours, self.theirs = socket.socketpair()
+        loop.addReader(self)
+
+    def fileno(self):
+        return self.ours.fileno()
+
+    def logPrefix(self):
+        return "slow"
+
+    def doRead(self):
+        self.ours.recv(1)
+        self.loop.now += self.seconds
+
+    def connectionLost(self, reason=None):
+        self.ours.close()
+        self.theirs.close()
+
+
+@pytest.mark.parametrize("before", [b"", read(1, d=60_000)])
+def test_a_long_turn_in_which_no_timer_is_due_sends_nothing_on_of_a_client_that_left(shop, before):
+    """Guards against a request that is read in a turn that took long so far, its client's end in the next one.
+
+    Another request of the client may be open: its due timer is far.
+    """
+    here = shop(lambda words: None, **{"Classes.0.Aim": "2000"})
+    slow = Slow(here.loop, 0.15)
+    client, side = here.client()
+    here.say(client, before)
+    here.loop.settle()
+    sent = here.service.gateway.ledger.legs
+    assert sent == bool(before)
+    assert here.service.gateway.host.next_due() > (here.loop.now + 0.2) * SECOND  # no timer sees to it
+    slow.theirs.send(b"x")
+    client.sendall(read(2, d=60_000))
+    client.close()
+    end_stands(side)
+    here.loop.settle()
+    assert here.service.gateway.ledger.legs == sent and not here.open
+
+
+def test_a_short_turn_sends_a_request_at_once(shop):
+    here = shop(lambda words: None)
+    slow = Slow(here.loop, 0.02)
+    client, side = here.client()
+    here.loop.settle()
+    slow.theirs.send(b"x")
+    client.sendall(read(1, d=60_000))
+    stands(side.transport.fileno(), select.POLLIN)
+    here.loop.turn()
+    assert here.service.gateway.ledger.legs == 1
+
+
+def test_what_may_stand_unread_is_as_old_as_the_third_last_poll_that_came_back_at_once():
+    turns = Turns()
+    for at in range(1, 9):
+        turns.polled(at * 10, at * 10, True)
+    assert turns.unread_since() == (9 - POLLS) * 10
+    turns.polled(100, 100 + WAITED, False)  # it may have been kept from running
+    assert turns.unread_since() < 100
+    turns.polled(200, 201 + WAITED, True)
+    assert turns.unread_since() == 201 + WAITED
+
+
 def test_a_long_turn_keeps_back_nothing_of_clients_that_stay(shop):
     here = shop(lambda words: b"-ERR failed\r\n" if len(here.node.commands) == 1 else good(words))
     client, _ = here.client()
