Turns of the loop: the module stands beside lateness, where the deploy file's `node` has it

Change: it is ochrecourse/gateway/turns.py, under the import contracts of lateness.py: free of I/O, and it knows nothing of the fleet.

--- a/ochrecourse/steady.py
+++ b/ochrecourse/steady.py
@@ -13,8 +13,8 @@
 from twisted.internet.main import CONNECTION_DONE, installReactor
 from twisted.python.failure import Failure
 
+from ochrecourse.gateway.turns import Turns
 from ochrecourse.outside import now_ns
-from ochrecourse.turns import Turns
 
 FULL = 0.02  # s in which a port that can accept nothing is not asked again; its clients wait in the kernel
 
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from ochrecourse.decide import SECOND
+from ochrecourse.gateway.turns import POLLS, WAITED, Turns
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.relay.service import Service, shares
 from ochrecourse.relay.start import parse
@@ -20,7 +21,6 @@
 from ochrecourse.resp.closing import DRAIN, LINGER
 from ochrecourse.standins.respnode import ListAgent, RespNode, good
 from ochrecourse.steady import unread_since
-from ochrecourse.turns import POLLS, WAITED, Turns
 
 PATIENCE = 60_000  # ms that the system may take for anything here; no verdict depends on it
 ENDLESS = 10_000  # turns after which a test that waits for something has failed
