--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -23,10 +23,10 @@
 from ochrecourse.bgp.session import SECOND, PeerFigures  # noqa: E402
 from ochrecourse.bgp.setup import AddressSetup, PeerSetup, SpeakerSetup  # noqa: E402
 from ochrecourse.bgp.speaker import Speaker  # noqa: E402
-from ochrecourse.decide import Host  # noqa: E402
+from ochrecourse.decide import Scheduler  # noqa: E402
 from ochrecourse.gateway.front import FrontFactory  # noqa: E402
 from ochrecourse.gateway.gateway import Gateway  # noqa: E402
-from ochrecourse.interface import Ending, Health, Job, Leg, LegEnd, ListKind, NodeEntry  # noqa: E402
+from ochrecourse.interface import Ending, Health, Request, Attempt, AttemptEnd, ListKind, NodeEntry  # noqa: E402
 from ochrecourse.nodes.link import dialler  # noqa: E402
 from ochrecourse.settings.load import resolve  # noqa: E402
 from ochrecourse.settings.plain import plain_map  # noqa: E402
@@ -183,7 +183,7 @@
 
 def decisions_alone() -> float:
     """CPU time a job of `decide.py` fed with the same jobs in the same order, one leg each, answered at once."""
-    host = Host(plain_map(resolve(SETTINGS, "bench")), 1, 0)
+    host = Scheduler(plain_map(resolve(SETTINGS, "bench")), 1, 0)
     host.list_came(ListKind.FULL, [NodeEntry(70 + i, 0, i, Health.READY, 0) for i in range(NODES)], 0)
     now, began, waiting = 0, 0.0, []
     for number in range(1, JOBS + JOBS // 5 + 1):
@@ -191,18 +191,18 @@
             began = time.process_time()
         now += 100_000
         host.job_came(
-            Job(number, 0, 0, number % 40, number % 97, 2.0, number % NODES, 1, now + 5_000_000_000), now
+            Request(number, 0, 0, number % 40, number % 97, 2.0, number % NODES, 1, now + 5_000_000_000), now
         )
         while (said := host.decide(now)) is not None:
-            if isinstance(said, Leg):
+            if isinstance(said, Attempt):
                 waiting.append(said)
         while len(waiting) >= OUT or (waiting and number > JOBS):
             leg = waiting.pop(0)
             now += 100_000
-            end = LegEnd(leg.job, leg.number, leg.node, Ending.FULFILLED, 800_000, True, -1.0, 0, {})
+            end = AttemptEnd(leg.request_id, leg.number, leg.node, Ending.SERVED, 800_000, True, -1.0, 0, {})
             host.leg_ended(end, now)
             while (said := host.decide(now)) is not None:
-                if isinstance(said, Leg):
+                if isinstance(said, Attempt):
                     waiting.append(said)
     return (time.process_time() - began) / JOBS * 1e6
 
--- a/benchmarks/growth.py
+++ b/benchmarks/growth.py
@@ -91,7 +91,7 @@
 
     def _leg(self, i: int, part: Part) -> None:
         if not part.stopped and part.zones is not None:
-            part.zones.leg_over(i % NODES, Ending.FULFILLED, 20 * MS, 20.0 * MS, now_ns(self.network))
+            part.zones.leg_over(i % NODES, Ending.SERVED, 20 * MS, 20.0 * MS, now_ns(self.network))
             self.network.callLater(self.network.chance.expovariate(self.legs), self._leg, i, part)
 
     def _written(self, here: str, there: str, size: int) -> None:
--- a/ochrecourse/decide.py
+++ b/ochrecourse/decide.py
@@ -1,8 +1,7 @@
-"""Every decision of the gateway: which held job leaves next and where to, which is denied or written off.
+"""Every decision of the gateway: which waiting request leaves next and where to, which is rejected or failed.
 
-Make one `Host` from the start settings, report what is seen (`list_came`, `job_came`, `leg_ended`,
-`stream_began`, `job_gone`), which only updates what is known, then call `decide` until it returns None, and
-come back at `next_due` at the latest. Types and calls are in interface.py, the mechanism in docs/design.md.
+Make one `Scheduler`, report what is seen, which only updates what is known, then call `decide` until it
+returns None; come back at `next_due`. Types and calls are in interface.py, the mechanism in docs/design.md.
 """
 
 from __future__ import annotations
@@ -12,70 +11,70 @@
 from heapq import heappop, heappush
 from typing import Any
 
-from ochrecourse.interface import Answer, Ending, Health, Job, Leg, LegEnd, ListCall, ListKind, MissingValue
-from ochrecourse.interface import NodeEntry, Verdict
+from ochrecourse.interface import Attempt, AttemptEnd, Ending, Health, ListCall, ListKind, MissingValue
+from ochrecourse.interface import NodeEntry, Outcome, Reply, Request
 
 MS = 1_000_000  # ns in a millisecond
 SECOND = 1_000 * MS  # ns in a second
-QUEUE = 32  # jobs out at one node, shared evenly by its volumes; the paper's queue length
-TRIMMED = 8  # jobs out in total while a recent volume is empty; the paper's beta
+QUEUE = 32  # requests out at one node, shared evenly by its volumes; the paper's queue length
+TRIMMED = 8  # requests out in total while a recent volume is empty; the paper's beta
 CAPACITY = 10.0  # units out above which a node counts as loaded; the paper's count of channels
-HISTORY = 128  # jobs sent to a node that tell which volumes are recent; the paper's alpha
+HISTORY = 128  # requests sent to a node that tell which volumes are recent; the paper's alpha
 SCORE_HALF = SECOND  # ns in which the runs score halves; the design page's decay
-FIRST_WINDOW = 2.0  # jobs out at a node of which nothing is known; one served, one on its way
-SOON = 0.3  # share of the shortest promised time an answer may take before the window shrinks; short queues
-ROOM = 0.5  # power of the part of the worth in the room a job has beyond the usual; higher denies more
+FIRST_WINDOW = 2.0  # requests out at a node of which nothing is known; one served, one on its way
+SOON = 0.3  # share of the shortest deadline an answer may take before the window shrinks; short queues
+ROOM = 0.5  # power of the part of the worth in the room a request has beyond the usual; higher denies more
 LEEWAY = 0.25  # added to a chance between a half and one, so that the room is right in the mean
-LOST = 4  # times the usual answer time after which a leg is taken for lost; beyond most honest answers
-LOSSY = (0.04, 0.4)  # shares of legs lost at quick nodes between which answers are lost; more is a jam
-BACKOFF = (2, 64.0)  # factor for each unanswered leg on what a node needs, and the most in usual answer times
-CUT = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
-GROW = 0.5  # jobs by which the window grows for each window of timely answers; far slower than it shrinks
+LOST = 4  # times the usual answer time after which a attempt is taken for lost; beyond most honest answers
+LOSSY = (0.04, 0.4)  # shares of attempts lost at quick nodes between which answers are lost; more is a jam
+BACKOFF = (2, 64.0)  # for each unanswered attempt on what a node needs, and the most in usual answer times
+SHRINK = 0.7  # factor on the window after a late answer; deep enough to empty a queue in a few answers
+GROW = 0.5  # requests by which the window grows for each window of timely answers; far slower than it shrinks
 SMOOTH = 0.125  # weight of the newest answer in a running mean; about the last eight count
 EASE = 1350 * MS  # ns in which a node's drag and floor halve at the least; a jam of a few gateways is gone
 RATE_HALF = 2 * SECOND  # ns in which a seen rate halves; a few periods of the usual meters
-FLOOR_STEP = 0.05  # part of the way the payoff floor moves for each job given up; about twenty tell a trend
-PAUSE = 0.1  # share of the promised time before a further leg, doubled each time; leaves time for all of them
+FLOOR_STEP = 0.05  # part of the way to its payoff that a request given up moves the floor; 20 show a trend
+PAUSE = 0.1  # share of the deadline before a retry, doubled each time; leaves time for all of them
 ASK_AGAIN = SECOND  # ns before the list is asked for again after a failure; seldom enough not to load it
 NEVER = 1 << 60  # ns; the wait where there is nothing to wait for
 DEVIATIONS = 4  # of chance that keep a sum within N + 2 root N + 2, what a cold node bears; few go beyond
 COUNTED = 16 * SECOND  # ns of which a gateway's own requests tell its part of all; as long as nodes are cold
-FIRST_LOOK = 20 * MS  # ns per unit that a job is expected to take before any answer was seen
+FIRST_LOOK = 20 * MS  # ns per unit that a request is expected to take before any answer was seen
 
 
-class Product:
-    """What the settings say of one product."""
+class RequestClass:
+    """What the settings say of one request class."""
 
-    def __init__(self, host: Host, at: str) -> None:
-        self.promised = round(host.number(at + "Aim") * MS)
-        self.points = host.number(at + "Points", 1.0)
-        self.effect = host.text(at + "Effect")
-        self.group = host.text(at + "KeyScope", "all")
-        self.window = round(host.number(at + "Window", 0.0) * MS)
-        self.in_order = host.text(at + "SerialByKey", "false") == "true"
-        self.pace, self.seen = float(FIRST_LOOK), 0  # ns per unit its jobs were seen to take, and how many
+    def __init__(self, scheduler: Scheduler, at: str) -> None:
+        self.deadline = round(scheduler.number(at + "Aim") * MS)
+        self.points = scheduler.number(at + "Points", 1.0)
+        self.effect = scheduler.text(at + "Effect")
+        self.group = scheduler.text(at + "KeyScope", "all")
+        self.window = round(scheduler.number(at + "Window", 0.0) * MS)
+        self.in_order = scheduler.text(at + "SerialByKey", "false") == "true"
+        self.pace, self.seen = float(FIRST_LOOK), 0  # ns per unit that requests took, and how many were seen
 
 
 class Volume:
-    """A volume as this gateway knows it: its plan's figures and the part of them that is this gateway's."""
-
-    def __init__(self, host: Host, plan: int, gateways: int, began: int) -> None:
-        at = f"Policies.{plan}."
-        self.weight = host.number(at + "Weight", 1.0) or 1.0
-        self.factor = host.number(at + "ValueFactor", 1.0)
-        self.rate = host.number(at + "Rate", 0.0)
-        self.reserve = host.number(at + "Reserve", 0.0)
-        self.top, self.share = host.number("FamilyInfo.UnitsTop", 1.0), 1.0 / max(1, gateways)
+    """A volume as this gateway knows it: its tenant's figures and the part of them that is this gateway's."""
+
+    def __init__(self, scheduler: Scheduler, tenant: int, gateways: int, began: int) -> None:
+        at = f"Policies.{tenant}."
+        self.weight = scheduler.number(at + "Weight", 1.0) or 1.0
+        self.factor = scheduler.number(at + "ValueFactor", 1.0)
+        self.rate = scheduler.number(at + "Rate", 0.0)
+        self.reserve = scheduler.number(at + "Reserve", 0.0)
+        self.top, self.share = scheduler.number("FamilyInfo.UnitsTop", 1.0), 1.0 / max(1, gateways)
         self.left = [float("inf")] * 2  # units of reserve and usual rate not yet used; full at first
-        self.limit = host.number(at + "Limit", 0.0) / max(1, gateways)
-        self.depth = host.number(at + "CapDepth", 0.0) / max(1, gateways)
-        self.store, self.at = 0.0, began  # empty at this gateway's start: what the last life drew is unknown
+        self.limit = scheduler.number(at + "Limit", 0.0) / max(1, gateways)
+        self.depth = scheduler.number(at + "CapDepth", 0.0) / max(1, gateways)
+        self.store, self.at = 0.0, began  # empty at this gateway's start: what the one before drew is unknown
         self.unwritten = 0.0  # units drawn from the store that no attempt has brought to a node yet
         self.own = self.used = 0.0  # units a second served here and everywhere
 
     def refill(self, now: int) -> None:
         past, self.at = (now - self.at) / SECOND, now
-        for i, rate in enumerate((self.reserve, self.rate)):  # a part holds the largest job
+        for i, rate in enumerate((self.reserve, self.rate)):  # a part holds the largest request
             self.left[i] = rate and min(rate * self.share + self.top, self.left[i] + rate * self.share * past)
         # Guards against a late connection: what is drawn but not written still lies in the nodes' store.
         self.store = min(self.depth - self.unwritten, self.store + self.limit * past)
@@ -84,10 +83,10 @@
     def draw(self, units: float, now: int) -> str:
         """The setting that tells what part of their worth these units earn; inside the reserve it is all."""
         self.refill(now)
-        for i, part in enumerate(("", "FamilyInfo.FairWorth")):
+        for i, discount in enumerate(("", "FamilyInfo.FairWorth")):
             if self.left[i] >= units:
                 self.left[i] -= units
-                return part
+                return discount
         return "FamilyInfo.BeyondShare"
 
     def served(self, units: float, used: float, now: int) -> None:
@@ -100,32 +99,32 @@
                 self.share += SMOOTH * (min(1.0, self.own / self.used) - self.share)
 
 
-class Held:
-    """A job that this gateway took and what became of it so far."""
+class PendingRequest:
+    """A request that this gateway took and what became of it so far."""
 
-    def __init__(self, job: Job, product: Product, volume: Volume, now: int) -> None:
-        self.job, self.product, self.volume = job, product, volume
-        self.promised = min(now + product.promised, job.client_timeout)
-        self.part = volume.draw(job.units, now)  # of its worth; none is named inside the reserve
-        self.legs = self.not_before = self.sent = 0
-        self.node: Node | None = None  # where it waits or has a leg out
+    def __init__(self, request: Request, kinds: Sequence[RequestClass], volume: Volume, now: int) -> None:
+        self.request, self.kind, self.volume = request, kinds[request.request_class], volume
+        self.deadline = min(now + self.kind.deadline, request.client_timeout)
+        self.discount = volume.draw(request.units, now)  # of its worth; none is named inside the reserve
+        self.attempts = self.not_before = self.sent = 0
+        self.node: Node | None = None  # where it waits or has a attempt out
         self.waiting = self.out = self.counted = self.over = self.streaming = False
         self.drawn = 0.0  # units drawn from its volume's store while no attempt was written yet
         self.wait = 0  # ns until the first node that it may go to has room, where all are bounded
-        self.ordered = product.in_order and job.key != 0
+        self.ordered = self.kind.in_order and request.key != 0
         self.turn = not self.ordered  # its key lets it go
-        self.ran: tuple[int, int, int] | None = None  # time, shard, zone of the first leg that may have run
+        self.ran: tuple[int, int, int] | None = None  # time, shard, zone of the first that may have run
 
 
 class Flow:
-    """One volume at one node: its bound, what it has out, and its held jobs inside and beyond the reserve."""
+    """One volume at one node: its bound, what it has out, what waits inside and beyond the reserve."""
 
     def __init__(self, volume: Volume, bound: float) -> None:
         self.volume, self.bound = volume, bound
-        self.out = self.held = self.score_at = 0
+        self.out = self.waiting = self.score_at = 0
         self.units = self.before = self.score = 0.0  # aggressiveness now and before, runs score
-        self.finish = 0.0  # virtual time at which its last job beyond the reserve ends
-        self.queues: tuple[deque[Held], deque[Held]] = (deque(), deque())
+        self.finish = 0.0  # virtual time at which its last request beyond the reserve ends
+        self.queues: tuple[deque[PendingRequest], deque[PendingRequest]] = (deque(), deque())
         self.listed = [False, False]
         self.keys: Counter[int] = Counter()
 
@@ -138,12 +137,11 @@
         self.health, self.started = Health.GONE, -1
         self.flows: dict[int, Flow] = {}
         self.ready: list[tuple[float, int, int, int]] = []  # tag, 0 inside or 1 beyond, number, volume
-        self.out = self.busy_flows = self.cut_at = self.cold_until = self.heard = self.eased = 0
-        self.quick = self.silent = self.trimmed = False  # its last answer was quick, its last leg timed out
+        self.out = self.busy_flows = self.shrunk_at = self.cold_until = self.heard = self.eased = 0
+        self.quick = self.silent = self.trimmed = False  # its last answer was quick, the last attempt silent
         self.units = self.time = 0.0  # units out, and the virtual time
-        self.split = float(QUEUE)
         self.history, self.recent = deque[int](), Counter[int]()
-        self.window = FIRST_WINDOW
+        self.split, self.window = float(QUEUE), FIRST_WINDOW
         self.drag = self.good = 1.0  # answer times against the usual ones, share of good answers
         self.cold: deque[tuple[int, float]] = deque()  # while cold: units sent, and less the answered
         self.credit = self.floor = 0.0  # in the rotation; least payoff for time worth a place
@@ -154,12 +152,11 @@
         return min(TRIMMED if self.trimmed else QUEUE, self.window)
 
 
-class Host:
+class Scheduler:
     def __init__(self, values: Mapping[str, str], seed: int, now: int) -> None:
-        self.values = values
+        self.values, self.chance = values, seed
         self.numbers = dict[str, float]()  # what was read of the values, which stay as they are
-        self.chance = seed
-        self.products = [Product(self, f"Classes.{i}.") for i in range(int(self.number("Classes.count")))]
+        self.kinds = [RequestClass(self, f"Classes.{i}.") for i in range(int(self.number("Classes.count")))]
         self.gateways = max(1.0, self.number("Instances", 1.0))
         self.fall = round(self.number("Safety.Fall", 0.0) * MS)
         self.cold_span = round(self.number("Safety.Cold", 0.0) * MS)
@@ -173,16 +170,15 @@
         self.bears = least * max(1.0, self.number("Safety.OverloadFactor", 1.0))  # of what it does when warm
         self.load, self.load_at = self.cold_units * COUNTED / (max(1, self.fall) * self.bears), now
         self.edge = 2 * round(self.number("Period", 1.0) * MS)
-        self.nodes: dict[int, Node] = {}
-        self.bounds: Mapping[int, float] = {}
-        self.volumes, self.jobs = dict[int, Volume](), dict[int, Held]()
-        self.turns, self.rests = dict[int, deque[Held]](), dict[int, int]()  # by key, in order
-        self.review, self.calls = deque[Held](), deque[ListCall]()  # jobs to settle, calls to make
+        self.nodes, self.bounds = dict[int, Node](), dict[int, float]()
+        self.volumes, self.requests = dict[int, Volume](), dict[int, PendingRequest]()
+        self.turns, self.rests = dict[int, deque[PendingRequest]](), dict[int, int]()  # by key, in order
+        self.review, self.calls = deque[PendingRequest](), deque[ListCall]()  # to settle, to make
         self.touched: dict[int, None] = {}  # nodes at which something may leave
         self.dues: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.count, self.now, self.began, self.heard = 0, now, now, now  # began: its life; heard: any node
+        self.count, self.now, self.began, self.heard = 0, now, now, now  # began: its start; heard: any node
         self.lost, self.late, self.drag = 0.0, 0.0, 1.0  # share lost at quick nodes, share late; of all nodes
-        self.taken, self.further = deque[int](), deque[int]()  # times, for the budget
+        self.received, self.retries = deque[int](), deque[int]()  # times, for the budget
         if self.text("Discovery", "push") == "ask":
             self.calls.append(ListCall.FOLLOW)
 
@@ -201,7 +197,7 @@
 
     # --- what the host reports ---
 
-    def list_came(self, kind: ListKind, entries: Sequence[NodeEntry], now: int) -> None:
+    def list_received(self, kind: ListKind, entries: Sequence[NodeEntry], now: int) -> None:
         self.now = now
         if kind is ListKind.FAILED:
             self._due(now + ASK_AGAIN, self.calls.append, ListCall.FOLLOW)
@@ -217,81 +213,82 @@
             if entry.health is not Health.READY:
                 self._left(node, entry.health)
                 continue
-            # Guards against pushing over a node that starts: any return counts as a start, told or not.
+            # Guards against pushing over a node that starts: any return counts as a start, listed or not.
             back = node.health is Health.GONE and node.started == entry.started
             since = now if back else entry.started
             if back or (node.started != entry.started and 0 < since > now - self.cold_span):
-                node.cold_until, node.window, node.cut_at = since + self.cold_span, 1.0, now
+                node.cold_until, node.window, node.shrunk_at = since + self.cold_span, 1.0, now
                 node.drag, node.eased = 1 / max(0.01, self.number("Safety.StartCapacity", 1.0)), now
                 self._look_again(node)
             node.health, node.started = Health.READY, entry.started
             self.touched[node.id] = None
 
-    def job_came(self, job: Job, now: int) -> None:
-        self.now, job.units = now, job.units or 1.0  # a size that was not told counts as one
-        if (volume := self.volumes.get(job.volume)) is None:
-            volume = self.volumes[job.volume] = Volume(self, job.plan, job.gateways, self.began)
-        held = self.jobs[job.id] = Held(job, self.products[job.product], volume, now)
+    def request_received(self, request: Request, now: int) -> None:
+        self.now, request.units = now, request.units or 1.0  # an unknown size counts as one
+        if (volume := self.volumes.get(request.volume)) is None:
+            volume = self.volumes[request.volume] = Volume(self, request.tenant, request.gateways, self.began)
+        pending = self.requests[request.id] = PendingRequest(request, self.kinds, volume, now)
         if "Safety.ExtraRatio" in self.values:
-            self.taken.append(now)
-        if held.turn:
-            self.review.append(held)
+            self.received.append(now)
+        if pending.turn:
+            self.review.append(pending)
         else:
-            self.turns.setdefault(job.key, deque()).append(held)
-            self._advance(job.key)
-        self._due(held.promised - self.edge, self.review.append, held)
+            self.turns.setdefault(request.key, deque()).append(pending)
+            self._advance(request.key)
+        self._due(pending.deadline - self.edge, self.review.append, pending)
 
-    def attempt_written(self, job: int, now: int) -> None:
+    def attempt_written(self, request_id: int, now: int) -> None:
         """The attempt that is out was handed to a connection: from now on it may run."""
         self.now = now
-        if (held := self.jobs.get(job)) and held.out:
-            held.sent = now
-            held.volume.unwritten, held.drawn = held.volume.unwritten - held.drawn, 0.0
+        if (pending := self.requests.get(request_id)) and pending.out:
+            pending.sent = now
+            pending.volume.unwritten, pending.drawn = pending.volume.unwritten - pending.drawn, 0.0
 
-    def leg_ended(self, end: LegEnd, now: int) -> None:
+    def attempt_ended(self, end: AttemptEnd, now: int) -> None:
         self.now = now
-        held = self.jobs.get(end.job)
+        pending = self.requests.get(end.request_id)
         node = self.nodes.get(end.node)
-        if held is None or node is None or not held.out:
+        if pending is None or node is None or not pending.out:
             return
-        held.out = False
+        pending.out = False
         self._ease(node)
-        units, good = held.job.units, end.ending is Ending.FULFILLED
-        self._free(held)
-        held.volume.served(units if good else 0.0, end.volume_used, now)
+        units, good = pending.request.units, end.ending is Ending.SERVED
+        self._free(pending)
+        pending.volume.served(units if good else 0.0, end.volume_used, now)
         # Guards against taking this side's doing for the node's: a client that left, no connection free.
         if end.ending not in (Ending.WITHDRAWN, Ending.MOOT):
-            self._learn(node, held, end)
+            self._learn(node, pending, end)
         unsure = end.ending in (Ending.TIMEOUT, Ending.RESET, Ending.WITHDRAWN)  # it may run on
         if good and now < node.cold_until:
             node.cold.append((now, -units))
-        if held.ran is None and (unsure or end.ending is Ending.ERROR):
-            held.ran = (held.sent, node.shard, node.zone)
-        held.over = held.over or end.last
-        held.not_before = now + round(held.product.promised * PAUSE * self._spread() * 2 ** (held.legs - 1))
-        if unsure and held.ordered:
-            self.rests[held.job.key] = now + self.settle
-        self.review.append(held)
-
-    def bounds_came(self, bounds: Mapping[int, float], now: int) -> None:
+        if pending.ran is None and (unsure or end.ending is Ending.ERROR):
+            pending.ran = (pending.sent, node.shard, node.zone)
+        pending.over = pending.over or end.last
+        pause = pending.kind.deadline * PAUSE * 2 ** (pending.attempts - 1)
+        pending.not_before = now + round(pause * self._spread())
+        if unsure and pending.ordered:
+            self.rests[pending.request.key] = now + self.settle
+        self.review.append(pending)
+
+    def bounds_received(self, bounds: Mapping[int, float], now: int) -> None:
         """Units a second that this gateway may begin at each node named, in place of what was said before."""
-        self.now, self.bounds = now, bounds
+        self.now, self.bounds = now, dict(bounds)
         for node in self.nodes.values():
             self._bound(node)
 
-    def stream_began(self, job: int) -> None:
-        if held := self.jobs.get(job):
-            held.streaming = True
-            self._free(held)  # guards against slow readers who hold a node's places: its own work is done
+    def stream_began(self, request_id: int) -> None:
+        if pending := self.requests.get(request_id):
+            pending.streaming = True
+            self._free(pending)  # guards against slow readers who hold a node's places: its own work is done
 
-    def job_gone(self, job: int) -> None:
-        if held := self.jobs.get(job):
-            held.over = True
-            self.review.append(held)
+    def request_cancelled(self, request_id: int) -> None:
+        if pending := self.requests.get(request_id):
+            pending.over = True
+            self.review.append(pending)
 
     # --- what the host pulls ---
 
-    def decide(self, now: int) -> Leg | Verdict | ListCall | None:
+    def decide(self, now: int) -> Attempt | Reply | ListCall | None:
         self.now = now
         while self.dues and self.dues[0][0] <= now:
             _, _, act, what = heappop(self.dues)
@@ -299,12 +296,12 @@
         if self.calls:
             return self.calls.popleft()
         while self.review:
-            if verdict := self._settle(self.review.popleft()):
-                return verdict
+            if reply := self._settle(self.review.popleft()):
+                return reply
         while self.touched:
             node = self.nodes[next(iter(self.touched))]
-            if leg := self._leave(node):
-                return leg
+            if attempt := self._leave(node):
+                return attempt
             del self.touched[node.id]
         return self.decide(now) if self.review else None
 
@@ -326,18 +323,18 @@
     def _look_again(self, node: Node) -> None:
         for flow in node.flows.values():
             for queue in flow.queues:
-                for held in queue:
-                    self._unhold(held)
+                for pending in queue:
+                    self._dequeue(pending)
                 self.review.extend(queue)
                 queue.clear()
 
     def _bound(self, node: Node) -> None:
-        """What others bound it to at this node, told anew."""
+        """Takes over what others bound it to at this node."""
         rate = self.bounds.get(node.id)
         if rate == node.rate:
             return
         if node.rate is None and rate:
-            # Guards against a rush of each gateway's first job: they begin by chance within one job's time.
+            # Guards against a rush of each gateway's first request: they begin by chance within one's time.
             node.free_at = self.now + round((2 * self._spread() - 1) * self.usual_units / rate * SECOND)
         if rate is None:
             node.begun.clear()
@@ -347,7 +344,7 @@
             self._look_again(node)
 
     def _bounded(self, node: Node, units: float) -> int:
-        """Time until a bound of others lets so many units begin; one job after another where it is less."""
+        """Time until a bound of others lets so many units begin; one after another where it is less."""
         if not node.rate:
             return 0 if node.rate is None else NEVER
         while node.begun and node.begun[0][0] <= self.now - self.fall:
@@ -362,16 +359,16 @@
             out, wait = out - each, at + self.fall - self.now + 1
         return wait
 
-    def _free(self, held: Held) -> None:
-        """A leg no longer counts as out: the bounds react as to an answer."""
-        node, volume = held.node, held.job.volume
-        if node is None or not held.counted:
+    def _free(self, pending: PendingRequest) -> None:
+        """An attempt no longer counts as out: the bounds react as to an answer."""
+        node, volume = pending.node, pending.request.volume
+        if node is None or not pending.counted:
             return
-        held.counted = False
+        pending.counted = False
         flow = node.flows[volume]
-        flow.before, flow.units = flow.units, flow.units - held.job.units
+        flow.before, flow.units = flow.units, flow.units - pending.request.units
         flow.out, node.out = flow.out - 1, node.out - 1
-        node.units -= held.job.units
+        node.units -= pending.request.units
         node.busy_flows -= flow.out == 0
         self._halve(node, flow)
         if flow.bound < node.split and (node.units <= CAPACITY or node.busy_flows <= 1):
@@ -379,47 +376,47 @@
         self._list_flow((node, volume))
         self._forget(node, volume)
 
-    def _lost(self, leg: tuple[Held, int]) -> None:
-        """Guards against legs that are never answered: they stop counting, the window shrinks."""
-        held, number = leg
-        if held.counted and held.legs == number:
-            self._shrink(held)
-            self._free(held)
+    def _lost(self, attempt: tuple[PendingRequest, int]) -> None:
+        """Guards against attempts that are never answered: they stop counting, the window shrinks."""
+        pending, number = attempt
+        if pending.counted and pending.attempts == number:
+            self._shrink(pending)
+            self._free(pending)
 
-    def _shrink(self, held: Held) -> None:
-        node = held.node
-        if node and held.sent >= node.cut_at:  # one cut for all legs that were out together
-            node.window, node.cut_at = max(1.0, node.window * CUT), self.now
+    def _shrink(self, pending: PendingRequest) -> None:
+        node = pending.node
+        if node and pending.sent >= node.shrunk_at:  # once for all attempts that were out together
+            node.window, node.shrunk_at = max(1.0, node.window * SHRINK), self.now
 
     def _ease(self, node: Node) -> None:
         """What a node is taken to need falls back to the usual without news: the slower, the more gateways
         come back, or all of them together would fill a jammed node again before it is empty."""
         if not node.out:
-            half = max(EASE, self.gateways * min(each.pace for each in self.products) * self.usual_units)
+            half = max(EASE, self.gateways * min(each.pace for each in self.kinds) * self.usual_units)
             keep = 0.5 ** ((self.now - node.eased) / half)
             node.floor *= keep
             usual = 1 + (self.drag - 1) * 0.5 ** ((self.now - self.heard) / half)  # as at all nodes of late
             node.drag = usual * (1 - keep) + keep * node.drag
         node.eased = self.now
 
-    def _learn(self, node: Node, held: Held, end: LegEnd) -> None:
+    def _learn(self, node: Node, pending: PendingRequest, end: AttemptEnd) -> None:
         """How fast a node answers sets its window, which trims the total further than the paper does."""
-        product, units = held.product, held.job.units
+        kind, units = pending.kind, pending.request.units
         gap = self.now - node.heard
         newest = max(SMOOTH, gap / (gap + RATE_HALF))  # guards against stale means where answers are rare
-        good, node.heard = end.ending is Ending.FULFILLED, self.now
+        good, node.heard = end.ending is Ending.SERVED, self.now
         node.good += SMOOTH * (good - node.good)
         if good:
             # Guards against taking a jam for the usual pace, after which nothing would be tried any more.
-            usual, took = SOON * product.promised / self.usual_units, max(1, end.took) / units
-            product.seen += 1  # the first answers count alike, or a rare product stays at its first look
-            product.pace += max(SMOOTH, 1 / product.seen) * (min(usual, took) - product.pace)
-        # Guards against beating on a node that turns jobs away unseen: the wait there is the promised time.
+            usual, took = SOON * kind.deadline / self.usual_units, max(1, end.took) / units
+            kind.seen += 1  # the first answers count equally, or a rare request class stays at its first look
+            kind.pace += max(SMOOTH, 1 / kind.seen) * (min(usual, took) - kind.pace)
+        # Guards against beating on a node that turns requests away unseen: the wait there is the deadline.
         shut = end.ending in (Ending.FULL, Ending.UNREACHABLE)
-        ratio = (product.promised if shut else end.took) / (product.pace * units) + shut
+        ratio = (kind.deadline if shut else end.took) / (kind.pace * units) + shut
         silent = end.ending is Ending.TIMEOUT
-        # Guards against lost answers that look like a slow node: while more legs go unanswered at quick nodes
-        # than answers come late, the first one in a row tells nothing of its node.
+        # Guards against lost answers that look like a slow node: while more go unanswered at quick nodes than
+        # come late, the first one in a row tells nothing of its node.
         lost = silent and node.quick and ratio >= LOST * node.drag
         self.lost += node.quick * SMOOTH / 2 * (lost - self.lost)
         node.quick, node.silent = ratio < LOST if good else node.quick and not (lost and node.silent), silent
@@ -429,13 +426,13 @@
             node.drag += newest * (ratio - node.drag)
             self.drag += SMOOTH * (min(ratio, LOST) - self.drag)
             self.heard = self.now
-        # All jobs at a node share its queue, so the shortest promised time sets what each may take there.
-        tightest = min(self.products, key=lambda each: each.promised)
-        large = max(1.0, units * product.pace / tightest.pace / self.usual_units)
-        late = end.took > SOON * tightest.promised * large
+        # All requests at a node share its queue, so the shortest deadline sets what each may take there.
+        tightest = min(self.kinds, key=lambda each: each.deadline)
+        large = max(1.0, units * kind.pace / tightest.pace / self.usual_units)
+        late = end.took > SOON * tightest.deadline * large
         self.late += good * SMOOTH / 2 * (late - self.late)
         if late or shut or end.ending is Ending.RESET:
-            self._shrink(held)
+            self._shrink(pending)
         elif good and node.out + 2 > node.window:
             node.window = min(float(QUEUE), node.window + GROW / node.window)
 
@@ -445,11 +442,11 @@
 
     def _forget(self, node: Node, volume: int) -> None:
         flow = node.flows.get(volume)
-        if flow and not flow.held and not flow.out and not node.recent[volume]:
+        if flow and not flow.waiting and not flow.out and not node.recent[volume]:
             del node.flows[volume], node.recent[volume]
 
     def _advance(self, key: int) -> None:
-        """Lets a key's next job go once those before are over, their legs ended and the key rested."""
+        """Lets a key's next request go once those before are over, attempts too, and the key rested."""
         turn = self.turns.get(key, deque())
         while turn and turn[0].over and not turn[0].out:
             turn.popleft()
@@ -462,46 +459,49 @@
             turn[0].turn = True
             self.review.append(turn[0])
 
-    def _close(self, held: Held) -> None:
-        if not held.out:
-            self.jobs.pop(held.job.id, None)
-            held.volume.unwritten, held.drawn = held.volume.unwritten - held.drawn, 0.0
-        if held.ordered:
-            self._advance(held.job.key)
-
-    def _settle(self, held: Held) -> Verdict | None:
-        """Answers a job that can't be fulfilled in time any more at once; holds the others at their node."""
-        if held.over:
-            self._unhold(held)
-            self._close(held)
-        if held.over or held.out or held.streaming:
+    def _close(self, pending: PendingRequest) -> None:
+        if not pending.out:
+            self.requests.pop(pending.request.id, None)
+            pending.volume.unwritten, pending.drawn = pending.volume.unwritten - pending.drawn, 0.0
+        if pending.ordered:
+            self._advance(pending.request.key)
+
+    def _settle(self, pending: PendingRequest) -> Reply | None:
+        """Answers a request that can't be served in time any more at once; holds the others at their node."""
+        if pending.over:
+            self._dequeue(pending)
+            self._close(pending)
+        if pending.over or pending.out or pending.streaming:
             return None
-        left = held.promised - self.now - self.edge
-        if left <= 0 or held.not_before - self.now >= left or (held.legs and not self._again(held)):
-            return self._answer(held)
-        if not held.turn:
+        left = pending.deadline - self.now - self.edge
+        if left <= 0 or pending.not_before - self.now >= left:
+            return self._reply(pending)
+        if pending.attempts and not self._again(pending):
+            return self._reply(pending)
+        if not pending.turn:
             return None
-        if self.now < held.not_before:
-            self._due(held.not_before, self.review.append, held)
+        if self.now < pending.not_before:
+            self._due(pending.not_before, self.review.append, pending)
             return None
-        if (node := held.node if held.waiting else self._place(held)) is None:
-            return self._answer(held, held.wait)
+        if (node := pending.node if pending.waiting else self._place(pending)) is None:
+            return self._reply(pending, pending.wait)
         self._ease(node)
-        needs = self._needs(held, node)
-        worth = self._density(held)
+        needs = self._needs(pending, node)
+        worth = self._density(pending)
         # Guards against surges that fill a node with work of little worth: it goes where answers are quick;
         # and, by chance, against gateways that all begin or cease to send at one answer time.
-        room = self.number(held.part, 1.0) ** ROOM * (1.0 if held.waiting else LEEWAY + self._spread())
+        room = self.number(pending.discount, 1.0) ** ROOM
+        room *= 1.0 if pending.waiting else LEEWAY + self._spread()
         # Guards against work that would be late, at an idle node too; as its needs ease, one is tried.
-        least = held.product.pace * held.job.units  # needed at a node that is as quick as usual
+        least = pending.kind.pace * pending.request.units  # needed at a node that is as quick as usual
         if needs > left or needs - least > room * (left - least):
             node.floor += max(0.0, FLOOR_STEP * (worth - node.floor))
-            return self._answer(held)
-        if not held.waiting:
+            return self._reply(pending)
+        if not pending.waiting:
             if worth < node.floor and (node.out or self.now < node.heard + needs):
-                return self._answer(held)
-            self._hold(held, node)
-        self._due(held.promised - self.edge - needs + 1, self.review.append, held)
+                return self._reply(pending)
+            self._enqueue(pending, node)
+        self._due(pending.deadline - self.edge - needs + 1, self.review.append, pending)
         return None
 
     def _spread(self) -> float:
@@ -509,84 +509,83 @@
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % 2**64
         return 0.5 + (self.chance >> 40) / 2**25
 
-    def _answer(self, held: Held, wait: int = 0) -> Verdict:
-        """A denial says that nothing ran or that a repeat is harmless; else the job is written off. `wait`:
+    def _reply(self, pending: PendingRequest, wait: int = 0) -> Reply:
+        """A rejection says that nothing ran or that a repeat is harmless; else the request is failed. `wait`:
         ns until there is room for it, where that is known."""
-        held.over = True
-        self._unhold(held)
-        effect, group = held.product.effect, held.product.group
-        denied = held.ran is None or effect == "safe" or (effect == "keyed" and group == "all")
-        self._close(held)
-        advice = denied and self.text("Limits.RetryAfter", "false") == "true"
+        pending.over = True
+        self._dequeue(pending)
+        effect, group = pending.kind.effect, pending.kind.group
+        rejected = pending.ran is None or effect == "safe" or (effect == "keyed" and group == "all")
+        self._close(pending)
+        advice = rejected and self.text("Limits.RetryAfter", "false") == "true"
         away = round(self.number("Limits.MaxRetryAfter", 0.0) * MS * self._spread()) if advice else 0
         away = min(round(self.number("Limits.MaxRetryAfter", 0.0) * MS), wait) if advice and wait else away
-        return Verdict(held.job.id, Answer.DENIED if denied else Answer.WRITTEN_OFF, away)
+        return Reply(pending.request.id, Outcome.REJECTED if rejected else Outcome.FAILED, away)
 
-    def _again(self, held: Held) -> bool:
-        """Whether a job may have a further leg: by its payoff, by what may have run, and by the budget."""
+    def _again(self, pending: PendingRequest) -> bool:
+        """Whether a request may have a retry: by its payoff, by what may have run, and by the budget."""
         most = int(self.number("Limits.MaxAttempts", 1.0))
-        if held.legs >= min(most, 1 + max(1, round((most - 1) * self.number(held.part, 1.0)))):
+        if pending.attempts >= min(most, 1 + max(1, round((most - 1) * self.number(pending.discount, 1.0)))):
             return False
-        if self.now >= self._repeat_until(held) or (held.ran is not None and held.product.effect == "unsafe"):
+        if self.now >= self._repeat_until(pending) or (pending.ran and pending.kind.effect == "unsafe"):
             return False
         if "Safety.ExtraRatio" not in self.values:
             return True
         since = self.now - round(self.number("Safety.CountedOver", 0.0) * MS)
-        for times in (self.taken, self.further):
+        for times in (self.received, self.retries):
             while times and times[0] <= since:
                 times.popleft()
-        free = self.number("Safety.ExtraFloor", 0.0) + self.number("Safety.ExtraRatio") * len(self.taken)
-        return len(self.further) + 1 <= free
+        free = self.number("Safety.ExtraFloor", 0.0) + self.number("Safety.ExtraRatio") * len(self.received)
+        return len(self.retries) + 1 <= free
 
-    def _repeat_until(self, held: Held) -> int:
+    def _repeat_until(self, pending: PendingRequest) -> int:
         """Until when an attempt may be written: the client waits; if one may have run, its window is open."""
-        ran = held.ran if held.product.effect == "keyed" else None
-        return min(held.job.client_timeout, ran[0] + held.product.window - self.edge if ran else NEVER)
-
-    def _place(self, held: Held) -> Node | None:
-        """The node of the job's shard; new objects take turns, weighted by what each node managed."""
-        group = held.product.group if held.ran and held.product.effect == "keyed" else "all"
-        shard = held.ran[1] if held.ran and group == "cell" else held.job.shard
-        zone = held.ran[2] if held.ran and group == "zone" else -1
-        best, later, whole = None, None, 0.0
-        held.wait = 0
+        ran = pending.ran if pending.kind.effect == "keyed" else None
+        return min(pending.request.client_timeout, ran[0] + pending.kind.window - self.edge if ran else NEVER)
+
+    def _place(self, pending: PendingRequest) -> Node | None:
+        """The node of the request's shard; new objects take turns, weighted by what each node managed."""
+        group = pending.kind.group if pending.ran and pending.kind.effect == "keyed" else "all"
+        shard = pending.ran[1] if pending.ran and group == "cell" else pending.request.shard
+        zone = pending.ran[2] if pending.ran and group == "zone" else -1
+        best, later, whole, pending.wait = None, None, 0.0, 0
         self.load *= 0.5 ** ((self.now - self.load_at) / (0.69 * COUNTED))
-        self.load, self.load_at = self.load + held.job.units / max(1, len(self.nodes)), self.now
+        self.load, self.load_at = self.load + pending.request.units / max(1, len(self.nodes)), self.now
         for node in self.nodes.values():
             if shard in (-1, node.shard) and zone in (-1, node.zone) and node.health is Health.READY:
                 spared = node.cold_until - self.now if self._spared(node) else 0
                 if spared or node.rate is not None:
-                    wait = max(spared, self._bounded(node, held.job.units) + self._ahead(node))
-                    if later is None or wait < held.wait:
-                        held.wait, later = wait, node
+                    wait = max(spared, self._bounded(node, pending.request.units) + self._ahead(node))
+                    if later is None or wait < pending.wait:
+                        pending.wait, later = wait, node
                     continue
                 weight = node.window * node.good / max(node.drag, 0.1)
                 node.credit += weight
                 whole += weight
                 if best is None or node.credit > best.credit:
                     best = node
-        left = held.promised - self.now - self.edge
+        left = pending.deadline - self.now - self.edge
         # A bound is room that is to be used, or nobody would learn that a node is back; but work that need
         # not go there does so only if it may be repeated and is still in time.
-        if later and (best is None or (held.product.effect == "safe" and not held.legs and not held.wait)):
+        if later and not (best and (pending.kind.effect != "safe" or pending.attempts or pending.wait)):
             self._ease(later)  # or what it needed before its bound would keep all from trying it
-            fits = self._needs(held, later) <= left * SOON and self._density(held) >= later.floor
-            if fits if best else held.wait + self._needs(held, later) <= left:
-                held.wait = 0
+            fits = self._needs(pending, later) <= left * SOON and self._density(pending) >= later.floor
+            if fits if best else pending.wait + self._needs(pending, later) <= left:
+                pending.wait = 0
                 return later
         if best:
             best.credit -= whole
         return best
 
     def _ahead(self, node: Node) -> int:
-        """Time that the bound gives to what is held at a node before another job."""
-        held = sum(flow.held for flow in node.flows.values())
-        return round(held * self.usual_units / node.rate * SECOND) if node.rate else 0
+        """Time that the bound gives to what waits at a node before another request."""
+        pending = sum(flow.waiting for flow in node.flows.values())
+        return round(pending * self.usual_units / node.rate * SECOND) if node.rate else 0
 
-    def _hold(self, held: Held, node: Node) -> None:
-        volume, key = held.job.volume, held.job.key
+    def _enqueue(self, pending: PendingRequest, node: Node) -> None:
+        volume, key = pending.request.volume, pending.request.key
         if (flow := node.flows.get(volume)) is None:
-            flow = node.flows[volume] = Flow(held.volume, 0.0)
+            flow = node.flows[volume] = Flow(pending.volume, 0.0)
             node.split = max(1.0, QUEUE / len(node.flows))
             for each, other in node.flows.items():
                 other.bound = node.split
@@ -598,25 +597,25 @@
             flow.bound = max(1.0, flow.bound - 1)
         elif flow.score > 0 and flow.units < flow.before:
             flow.bound = min(float(QUEUE), flow.bound + 1)
-        queue = flow.queues[1 if held.part else 0]
-        (queue.appendleft if held.legs else queue.append)(held)
-        held.node, held.waiting = node, True
-        flow.held += 1
+        queue = flow.queues[1 if pending.discount else 0]
+        (queue.appendleft if pending.attempts else queue.append)(pending)
+        pending.node, pending.waiting = node, True
+        flow.waiting += 1
         flow.keys[key] += 1
         self._list_flow((node, volume))
 
-    def _unhold(self, held: Held) -> None:
-        if not held.waiting or held.node is None:
+    def _dequeue(self, pending: PendingRequest) -> None:
+        if not pending.waiting or pending.node is None:
             return
-        flow = held.node.flows[held.job.volume]
-        held.waiting = False
-        flow.held -= 1
-        flow.keys[held.job.key] -= 1
-        if not flow.keys[held.job.key]:
-            del flow.keys[held.job.key]
+        flow = pending.node.flows[pending.request.volume]
+        pending.waiting = False
+        flow.waiting -= 1
+        flow.keys[pending.request.key] -= 1
+        if not flow.keys[pending.request.key]:
+            del flow.keys[pending.request.key]
 
     def _list_flow(self, at: tuple[Node, int]) -> None:
-        """Lists a volume with held jobs under its bound; inside the reserve none waits for its own tags."""
+        """Lists a volume with waiting requests under its bound; in the reserve none waits for its tags."""
         node, volume = at
         self.touched[node.id] = None
         flow = node.flows.get(volume)
@@ -629,8 +628,8 @@
                 heappush(node.ready, (tag, rank, self.count, volume))
                 flow.listed[rank] = True
 
-    def _leave(self, node: Node) -> Leg | None:
-        """The held job with the least tag, as far as the bounds, the limits and a cold start let it."""
+    def _leave(self, node: Node) -> Attempt | None:
+        """The waiting request with the least tag, as far as bounds, limits and a cold start let it."""
         if node.health is not Health.READY:
             return None
         while node.ready and (not node.out or node.out + 1 <= node.total()):
@@ -640,7 +639,7 @@
             while queue and not (queue[0].waiting and self._may_leave(queue[0])):
                 queue.popleft()
             if flow and queue and flow.out < flow.bound:
-                if wait := max(self._too_cold(node), self._bounded(node, queue[0].job.units)):
+                if wait := max(self._too_cold(node), self._bounded(node, queue[0].request.units)):
                     if wait < NEVER:
                         self._due(self.now + wait, self._list_flow, (node, volume))
                     return None
@@ -656,30 +655,30 @@
                 self._forget(node, volume)
         return None
 
-    def _may_leave(self, held: Held) -> bool:
-        """Guards against further legs that were allowed when they were held but no longer are."""
-        if not held.legs or self._again(held):
+    def _may_leave(self, pending: PendingRequest) -> bool:
+        """Guards against retries that were allowed when they were queued but no longer are."""
+        if not pending.attempts or self._again(pending):
             return True
-        self._unhold(held)
-        self.review.append(held)
+        self._dequeue(pending)
+        self.review.append(pending)
         return False
 
-    def _send(self, node: Node, flow: Flow, rank: int, tag: float, held: Held) -> Leg:
-        job, volume = held.job, held.job.volume
-        self._unhold(held)
+    def _send(self, node: Node, flow: Flow, rank: int, tag: float, pending: PendingRequest) -> Attempt:
+        request, volume = pending.request, pending.request.volume
+        self._dequeue(pending)
         node.time = max(node.time, tag)
         if rank:
-            flow.finish = tag + job.units / flow.volume.weight
-        if not held.legs:
-            flow.volume.store, held.drawn = flow.volume.store - job.units, job.units
-            flow.volume.unwritten += job.units
+            flow.finish = tag + request.units / flow.volume.weight
+        if not pending.attempts:
+            flow.volume.store, pending.drawn = flow.volume.store - request.units, request.units
+            flow.volume.unwritten += request.units
         elif "Safety.ExtraRatio" in self.values:
-            self.further.append(self.now)
-        flow.before, flow.units = flow.units, flow.units + job.units
+            self.retries.append(self.now)
+        flow.before, flow.units = flow.units, flow.units + request.units
         node.busy_flows += flow.out == 0
         flow.out, node.out = flow.out + 1, node.out + 1
-        node.units += job.units
-        node.trimmed = not flow.held and node.recent[volume] > 0
+        node.units += request.units
+        node.trimmed = not flow.waiting and node.recent[volume] > 0
         node.history.append(volume)
         node.recent[volume] += 1
         if len(node.history) > HISTORY:
@@ -687,37 +686,38 @@
             node.recent[oldest] -= 1
             self._forget(node, oldest)
         if self.now < node.cold_until:
-            node.cold.append((self.now, job.units))
+            node.cold.append((self.now, request.units))
         if node.rate:
-            node.begun.append((self.now, job.units))
-            node.free_at = max(self.now, node.free_at) + round(job.units / node.rate * SECOND)
+            node.begun.append((self.now, request.units))
+            node.free_at = max(self.now, node.free_at) + round(request.units / node.rate * SECOND)
         self._halve(node, flow)
         self._list_flow((node, volume))
-        held.out, held.counted, held.sent, held.node = True, True, self.now, node
-        held.legs += 1
-        again = held.product.effect != "unsafe" and self._lossy()  # there may be time for another
-        patience = max(0 if again else held.product.promised, LOST * self._needs(held, node))
-        self._due(self.now + patience, self._lost, (held, held.legs))
-        time_out = patience if again or held.product.effect == "safe" else 0
-        return Leg(job.id, held.legs - 1, node.id, time_out, self._repeat_until(held))
+        pending.out, pending.counted, pending.sent, pending.node = True, True, self.now, node
+        pending.attempts += 1
+        again = pending.kind.effect != "unsafe" and self._lossy()  # there may be time for another
+        patience = max(0 if again else pending.kind.deadline, LOST * self._needs(pending, node))
+        self._due(self.now + patience, self._lost, (pending, pending.attempts))
+        time_out = patience if again or pending.kind.effect == "safe" else 0
+        return Attempt(request.id, pending.attempts - 1, node.id, time_out, self._repeat_until(pending))
 
     def _lossy(self) -> bool:
         return max(LOSSY[0], self.late) < self.lost < LOSSY[1]
 
-    def _density(self, held: Held) -> float:
-        """Payoff for a job's time: less beyond the reserve, least beyond the plan's usual rate."""
-        return held.product.points * held.volume.factor / held.product.pace * self.number(held.part, 1.0)
+    def _density(self, pending: PendingRequest) -> float:
+        """Payoff for a request's time: less beyond the reserve, least beyond the tenant's usual rate."""
+        density = pending.kind.points * pending.volume.factor / pending.kind.pace
+        return density * self.number(pending.discount, 1.0)
 
-    def _needs(self, held: Held, node: Node) -> int:
-        return round(node.drag * held.product.pace * held.job.units)
+    def _needs(self, pending: PendingRequest, node: Node) -> int:
+        return round(node.drag * pending.kind.pace * pending.request.units)
 
-    def _limited(self, held: Held) -> int:
-        """Time until the volume's limit lets the job go; each gateway keeps to its even part of the store."""
-        volume = held.volume
-        if not volume.limit or held.legs:
+    def _limited(self, pending: PendingRequest) -> int:
+        """Time until the volume's limit lets it go; each gateway keeps to its even part of the store."""
+        volume = pending.volume
+        if not volume.limit or pending.attempts:
             return 0
         volume.refill(self.now)
-        lack = held.job.units - volume.store
+        lack = pending.request.units - volume.store
         return max(MS, round(lack / volume.limit * SECOND)) if lack > 0 else 0
 
     def _spared(self, node: Node) -> bool:
--- a/ochrecourse/drill/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The adapter that lets the simulator drill the decisions over its wire."""
--- a/ochrecourse/fleet/evidence.py
+++ b/ochrecourse/fleet/evidence.py
@@ -100,7 +100,7 @@
 
 
 _COUNTS = {
-    Ending.FULFILLED: 1,
+    Ending.SERVED: 1,
     Ending.FULL: 2,
     Ending.UNREACHABLE: 3,
     Ending.RESET: 4,
@@ -148,11 +148,11 @@
         seen.roll(now // (self.window // 2))
         seen.counts[0] += 1
         seen.counts[where] += 1
-        seen.counts[_SERVED if ending in (Ending.FULFILLED, Ending.FULL) else _LOST] += round(FINE * units)
-        if ending in (Ending.FULFILLED, Ending.FULL):
+        seen.counts[_SERVED if ending in (Ending.SERVED, Ending.FULL) else _LOST] += round(FINE * units)
+        if ending in (Ending.SERVED, Ending.FULL):
             seen.run, seen.life_at, seen.last = 0, now, took
             seen.took += SMOOTH * (took - seen.took) if seen.took else took
-            seen.counts[_SLOW] += ending is Ending.FULFILLED and pace > EXACT and took > self.slow * pace
+            seen.counts[_SLOW] += ending is Ending.SERVED and pace > EXACT and took > self.slow * pace
         else:
             seen.run, seen.failed_at = seen.run + 1, now
             seen.hard = ending in (Ending.UNREACHABLE, Ending.RESET)
--- a/ochrecourse/fleet/zones.py
+++ b/ochrecourse/fleet/zones.py
@@ -140,7 +140,7 @@
     ) -> None:
         """A leg ended, or has been silent for too long and counts as TIMEOUT. `took`: ns; `pace`: ns that
         such a leg usually takes, 0 if that is not known."""
-        if now - took >= self.met or ending is Ending.FULFILLED:
+        if now - took >= self.met or ending is Ending.SERVED:
             self.own.leg_over(node, ending, took, pace, now, units)
         self.spent(node, now, units)
 
--- a/ochrecourse/fleet/zonewatch.py
+++ b/ochrecourse/fleet/zonewatch.py
@@ -83,7 +83,7 @@
             self.zones.leg_over(leg.node, leg.ending, leg.took, 0.0, now, story.units)
             return
         self.zones.leg_over(leg.node, leg.ending, leg.took, usual, now, story.units)
-        if leg.ending is Ending.FULFILLED:
+        if leg.ending is Ending.SERVED:
             self.pace[story.product] = usual + (leg.took - usual) * SMOOTH if usual else float(leg.took)
 
     def _late(self, now: int) -> bool:
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -17,7 +17,7 @@
 from ochrecourse.bgp.setup import setup_of
 from ochrecourse.bgp.speaker import Speaker
 from ochrecourse.bgp.watch import Watch
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.durable.journal import InFile, InMemory, Journal
 from ochrecourse.durable.sole import Sole
 from ochrecourse.gateway.front import FrontFactory
@@ -59,7 +59,7 @@
         warn: Callable[[str], None],
         gone: Callable[[], None],
         told: Callable[..., None] | None = None,
-        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
+        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Scheduler,
         epoch: int = 0,
         access: Callable[..., None] | None = None,
         tree: Journal | None = None,
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -5,9 +5,9 @@
     gateway.take(request, asker)                                      # the asker hears exactly one answer
 
 Free of I/O: the clock, the seed and what opens connections (nodes/link.py) are handed in. It decides nothing
-about a job. Every report goes to `decide.Host`; then its decisions are pulled one by one until none is left;
-legs, answers and list calls are carried out; one timer brings it back at `next_due`. Several gateways can
-live in one process, on the real reactor or a virtual clock.
+about a request. Every report goes to `decide.Scheduler`; then its decisions are pulled one by one until none
+is left; attempts, replies and list calls are carried out; one timer brings it back at `next_due`. Several
+gateways can live in one process, on the real reactor or a virtual clock.
 """
 
 from __future__ import annotations
@@ -17,12 +17,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.gateway.lateness import TRIFLE, Lateness
 from ochrecourse.gateway.leaving import Leaving, Stage
 from ochrecourse.gateway.ledger import Closing, JobStory, Ledger, LegStory
-from ochrecourse.interface import Answer, Decisions, Health, Job, Leg, LegEnd, ListCall, ListKind
-from ochrecourse.interface import NodeEntry, Verdict
+from ochrecourse import interface
+from ochrecourse.interface import Attempt, AttemptEnd, Decisions, Health, ListCall, ListKind, NodeEntry
+from ochrecourse.interface import Outcome, Reply
 from ochrecourse.nodes.carrier import Body, Carrier, LegOut, OpenLine
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.nodes.proof import PROVES, Seen, Written
@@ -150,7 +151,7 @@
         name: str,
         travel: int = 0,
         observers: Sequence[Observer] = (),
-        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Host,
+        decisions: Callable[[Mapping[str, str], int, int], Decisions] = Scheduler,
         limits: PoolLimits | None = None,
         unread_since: Callable[[], int] | None = None,
     ) -> None:
@@ -176,7 +177,7 @@
         dial_time = _number(values, "Limits.DialTimeout", 250) / 1000
         slow_dial = min(self.kinds.aims, default=SECOND) * SLOW_DIAL / SECOND
         self.nodes = Carrier(name, clock, limits, dial_time, self.addresses.get, open_line, slow_dial)
-        self.host = decisions(values, seed, now_ns(clock))
+        self.scheduler = decisions(values, seed, now_ns(clock))
         self.ledger = Ledger()
         self.leaving = Leaving()
         self.lateness = Lateness()
@@ -209,7 +210,7 @@
         self.entries.update({entry.node: entry for entry in entries})
         self.holders = Counter(each.shard for each in self.entries.values() if each.health is Health.READY)
         self.addresses.update(addresses)
-        self.host.list_came(kind, entries, now_ns(self.clock))
+        self.scheduler.list_received(kind, entries, now_ns(self.clock))
         # Guards against a leg that waits for its connection and is written when its node has long drained.
         self.nodes.shed(self._ready)
         self._pull()
@@ -220,7 +221,7 @@
 
     def bounds_came(self, bounds: Mapping[int, float]) -> None:
         """Units a second that may begin at each node named, as the fleet sees it; others are free."""
-        self.host.bounds_came(bounds, now_ns(self.clock))
+        self.scheduler.bounds_received(bounds, now_ns(self.clock))
         self._pull()
 
     def take(self, request: Request, asker: Asker) -> int:
@@ -258,15 +259,15 @@
             if through is None:
                 return job
             self.tasks[job].asker = through
-        self._to_host(story, request, now)
+        self._to_scheduler(story, request, now)
         return job
 
-    def _to_host(self, story: JobStory, request: Request, now: int) -> None:
-        told = Job(
+    def _to_scheduler(self, story: JobStory, request: Request, now: int) -> None:
+        scheduled = interface.Request(
             story.number, story.product, story.plan, request.volume, request.key, request.units,
             request.shard, request.gateways, story.due
         )  # fmt: skip
-        self.host.job_came(told, now)
+        self.scheduler.request_received(scheduled, now)
         self._pull()
 
     def next_number(self) -> int:
@@ -278,7 +279,7 @@
         unsent = self.copies is not None and self.copies.left(job)
         if self.ledger.answer(job, Closing.CLIENT_GONE, now_ns(self.clock)) is not None:
             if not unsent:
-                self.host.job_gone(job)
+                self.scheduler.request_cancelled(job)
             gone = self.tasks[job]
             if gone.leg is not None and gone.leg.handed() is not Written.WHOLE:
                 self.nodes.cancel(gone.leg)  # nothing of it runs, and nobody waits for it
@@ -339,7 +340,7 @@
         """A job that waited for another's answer goes to the nodes, and its answer to this asker."""
         task = self.tasks[job]
         task.asker = asker
-        self._to_host(task.story, task.request, now_ns(self.clock))
+        self._to_scheduler(task.story, task.request, now_ns(self.clock))
 
     def finish(self, job: int, whole: bool) -> None:
         """Ends a job that needed no leg: all of its answer was handed on, or the rest will not come."""
@@ -351,14 +352,14 @@
     # --- the nodes' side (nodes.carrier.Taker) ---
 
     def written(self, leg: LegOut) -> None:
-        self.host.attempt_written(leg.job, now_ns(self.clock))
+        self.scheduler.attempt_written(leg.job, now_ns(self.clock))
 
     def began(self, leg: LegOut, answer: m.Done) -> None:
         task = self.tasks[leg.job]
         if answer.size > answer.body:
             task.story.streaming = True
             task.began = now_ns(self.clock)
-            self.host.stream_began(task.story.number)
+            self.scheduler.stream_began(task.story.number)
         if self.ledger.answer(task.story.number, Closing.FULFILLED, now_ns(self.clock)) is not None:
             task.answer_left = answer.size
             task.asker.fulfilled(task.story.number, answer.size, answer.shard)
@@ -387,8 +388,8 @@
             self.ledger.broke_off(story)
             task.asker.broke_off(job)
         told = answer if isinstance(answer, m.NodeAnswer) else None
-        end = LegEnd(
-            job=job,
+        end = AttemptEnd(
+            request_id=job,
             number=leg.message.number,
             node=leg.node,
             ending=proof.ending,
@@ -400,7 +401,7 @@
             elsewhere=told.elsewhere if told else 0,
             load=told.load if told else {},
         )
-        self.host.leg_ended(end, now)
+        self.scheduler.attempt_ended(end, now)
         self._over(task)
         self._pull()
 
@@ -421,10 +422,10 @@
             return
         self._pulling = True
         try:
-            while (said := self.host.decide(now := now_ns(self.clock))) is not None:
-                if isinstance(said, Leg):
+            while (said := self.scheduler.decide(now := now_ns(self.clock))) is not None:
+                if isinstance(said, Attempt):
                     self._send(said, now)
-                elif isinstance(said, Verdict):
+                elif isinstance(said, Reply):
                     self._answer(said, now)
                 elif said is ListCall.FOLLOW:
                     self.followed = True
@@ -432,7 +433,7 @@
                         self.follow()
         finally:
             self._pulling = False
-        due = self.host.next_due()
+        due = self.scheduler.next_due()
         if self._timer is None or due < self._due:
             if self._timer is not None:
                 self._timer.cancel()
@@ -471,18 +472,18 @@
         else:
             self._decide()
 
-    def _send(self, said: Leg, now: int) -> None:
-        story = self.ledger.send(said.job, said.number, said.node, now)
+    def _send(self, said: Attempt, now: int) -> None:
+        story = self.ledger.send(said.request_id, said.number, said.node, now)
         if story is None:
             return
-        task = self.tasks[said.job]
+        task = self.tasks[said.request_id]
         request, product = task.request, story.product
         self.reach.sent(said.node, now)
         left = story.due - now
         time_out = min(said.time_out, left) if said.time_out else left
         message = m.LegSent(
             id=0,
-            mark=f"{self.mark}/{said.job}",
+            mark=f"{self.mark}/{said.request_id}",
             product=request.product,
             volume=request.volume,
             key=request.key,
@@ -502,19 +503,19 @@
         alone = request.shard >= 0 and self.holders[request.shard] <= 1
         wait = story.taken + self.kinds.aims[product] - now if alone else None
         task.leg = self.nodes.send(
-            said.job, said.node, message, request.body, time_out, stall, self, wait, said.write_before
+            said.request_id, said.node, message, request.body, time_out, stall, self, wait, said.write_before
         )
 
-    def _answer(self, said: Verdict, now: int) -> None:
-        denied = said.answer is Answer.DENIED
-        story = self.ledger.answer(said.job, Closing.DENIED if denied else Closing.WRITTEN_OFF, now)
-        task = self.tasks.get(said.job)
+    def _answer(self, said: Reply, now: int) -> None:
+        denied = said.outcome is Outcome.REJECTED
+        story = self.ledger.answer(said.request_id, Closing.DENIED if denied else Closing.WRITTEN_OFF, now)
+        task = self.tasks.get(said.request_id)
         if task is None:
             return
         if story is not None and denied:
-            task.asker.denied(said.job, said.come_back)
+            task.asker.denied(said.request_id, said.retry_after)
         elif story is not None:
-            task.asker.written_off(said.job)
+            task.asker.written_off(said.request_id)
         self._over(task)
 
     def _over(self, task: _Task) -> None:
--- a/ochrecourse/interface.py
+++ b/ochrecourse/interface.py
@@ -1,7 +1,7 @@
-"""What a host and the decision module say to each other.
+"""What a gateway and its scheduler (decide.py) say to each other.
 
-The host reports what it saw through the calls of `Decisions`, then pulls with `decide` until it gets None.
-Times are whole nanoseconds on the host's clock; ids are whatever the host uses, unchanged.
+The gateway reports what it saw through the calls of `Decisions`, then pulls with `decide` until it gets None.
+Times are whole nanoseconds on the gateway's clock; ids are whatever the gateway uses, unchanged.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 
 class Health(enum.Enum):
-    """What the list says of a storage node."""
+    """What service discovery says of a storage node."""
 
     GONE = 0
     READY = 1
@@ -30,9 +30,10 @@
 
 
 class Ending(enum.Enum):
-    """How a leg ended."""
+    """How an attempt ended. The values stand in records and log lines."""
 
-    FULFILLED = "fulfilled"
+    SERVED = "fulfilled"
+    FULFILLED = SERVED  # the name that programs of library surface 1 use
     ERROR = "error"
     FULL = "full"
     TIMEOUT = "timeout"
@@ -42,31 +43,31 @@
     MOOT = "moot"
 
 
-class Answer(enum.Enum):
-    """A final answer that the gateway gives of its own; a fulfilled job is answered by its leg."""
+class Outcome(enum.Enum):
+    """A final answer that the gateway gives of its own; a served request is answered by its attempt."""
 
-    DENIED = "denied"
-    WRITTEN_OFF = "written off"
+    REJECTED = "rejected"
+    FAILED = "failed"
 
 
 class ListCall(enum.Enum):
-    """What the gateway may ask of the list of storage nodes."""
+    """What the gateway may ask of service discovery."""
 
     FOLLOW = "follow"
 
 
 @dataclass(slots=True)
-class Job:
+class Request:
     """One request of a client, as the gateway took it."""
 
     id: int
-    product: int
-    plan: int
+    request_class: int
+    tenant: int
     volume: int
     key: int
     units: float
     shard: int  # the shard that holds the data; below 0 for a new object, which any node may take
-    gateways: int  # through how many gateways the volume's jobs come
+    gateways: int  # through how many gateways the volume's requests come
     client_timeout: int  # clock time at which the client stops waiting
 
 
@@ -82,10 +83,10 @@
 
 
 @dataclass(slots=True)
-class Leg:
-    """Send this job to this node. Legs of a job are counted from 0 in the order in which they were sent."""
+class Attempt:
+    """Send this request to this node. A request's attempts are counted from 0 in the order of sending."""
 
-    job: int
+    request_id: int
     number: int
     node: int
     time_out: int  # how long to wait for it; 0 means until the client gives up
@@ -93,27 +94,27 @@
 
 
 @dataclass(slots=True)
-class LegEnd:
-    """How a leg ended, and what the node said with its answer."""
+class AttemptEnd:
+    """How an attempt ended, and what the node said with its answer."""
 
-    job: int
+    request_id: int
     number: int
     node: int
     ending: Ending
     took: int
-    last: bool  # the job is over
-    volume_used: float  # units served for the volume in a past period, against its rate; below 0: not told
+    last: bool  # the request is over
+    volume_used: float  # units served for the volume in a past period, against its rate; below 0: not known
     elsewhere: int  # units that this shard served the volume through other gateways
     load: Mapping[str, float]  # the node's load report by name; empty without one
 
 
 @dataclass(slots=True)
-class Verdict:
-    """Give this job its final answer now."""
+class Reply:
+    """Give this request its final answer now."""
 
-    job: int
-    answer: Answer
-    come_back: int  # advice on how long the client should stay away; 0 means none
+    request_id: int
+    outcome: Outcome
+    retry_after: int  # advice on how long the client should stay away; 0 means none
 
 
 class MissingValue(Exception):
@@ -121,22 +122,22 @@
 
 
 class Decisions(Protocol):
-    """The calls of the decision module. All but `decide` and `next_due` only record what was seen."""
+    """The calls of the scheduler. All but `decide` and `next_due` only record what was seen."""
 
-    def list_came(self, kind: ListKind, entries: Sequence[NodeEntry], now: int) -> None: ...
+    def list_received(self, kind: ListKind, entries: Sequence[NodeEntry], now: int) -> None: ...
 
-    def job_came(self, job: Job, now: int) -> None: ...
+    def request_received(self, request: Request, now: int) -> None: ...
 
-    def attempt_written(self, job: int, now: int) -> None: ...
+    def attempt_written(self, request_id: int, now: int) -> None: ...
 
-    def leg_ended(self, end: LegEnd, now: int) -> None: ...
+    def attempt_ended(self, end: AttemptEnd, now: int) -> None: ...
 
-    def bounds_came(self, bounds: Mapping[int, float], now: int) -> None: ...
+    def bounds_received(self, bounds: Mapping[int, float], now: int) -> None: ...
 
-    def stream_began(self, job: int) -> None: ...
+    def stream_began(self, request_id: int) -> None: ...
 
-    def job_gone(self, job: int) -> None: ...
+    def request_cancelled(self, request_id: int) -> None: ...
 
-    def decide(self, now: int) -> Leg | Verdict | ListCall | None: ...
+    def decide(self, now: int) -> Attempt | Reply | ListCall | None: ...
 
     def next_due(self) -> int: ...
--- a/ochrecourse/lab/fleet_play.py
+++ b/ochrecourse/lab/fleet_play.py
@@ -21,7 +21,7 @@
 
 from ochrecourse.audit import records as r
 from ochrecourse.audit.judge import Verdict, audit
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.fleet.forms import FIRST, NEWEST
 from ochrecourse.fleet.kept import SLACK
 from ochrecourse.fleet.log import HARD, Refused
@@ -319,7 +319,7 @@
     load: TimedLoad
     seats: list[FleetSeat]  # type: ignore[assignment]
 
-    def __init__(self, world: World, decisions: DecisionsFor = Host) -> None:
+    def __init__(self, world: World, decisions: DecisionsFor = Scheduler) -> None:
         self.world = world
         super().__init__(self.day_of(world), decisions)
         self.seen = Seen()
--- a/ochrecourse/lab/play.py
+++ b/ochrecourse/lab/play.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ochrecourse.audit import records as r
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.durable.journal import InMemory
 from ochrecourse.gateway.daemon import Daemon
 from ochrecourse.interface import Decisions
@@ -235,7 +235,7 @@
     def __init__(
         self,
         day: Day,
-        decisions: DecisionsFor = Host,
+        decisions: DecisionsFor = Scheduler,
         record: r.Recorder | None = None,
         announces: bool = False,
         steers: bool = False,
--- a/ochrecourse/nodes/proof.py
+++ b/ochrecourse/nodes/proof.py
@@ -70,7 +70,7 @@
     Seen.HALF_BODY: Proof(Ending.RESET, Ran.YES),
     Seen.GARBLED: Proof(Ending.RESET, Ran.MAYBE),
     Seen.GARBLED_BEFORE: Proof(Ending.UNREACHABLE, Ran.NO),
-    Seen.DONE: Proof(Ending.FULFILLED, Ran.YES),
+    Seen.DONE: Proof(Ending.SERVED, Ran.YES),
     Seen.FAILED: Proof(Ending.ERROR, Ran.MAYBE),
     Seen.BROKE_OFF: Proof(Ending.RESET, Ran.YES),
     Seen.FULL: Proof(Ending.FULL, Ran.NO),
--- a/ochrecourse/settings/plain.py
+++ b/ochrecourse/settings/plain.py
@@ -1,6 +1,6 @@
 """The resolved record as the plain map of names to values that the decisions read.
 
-The names are those of the start message that the drill gets, so the same module runs in both. This is a
+The names are those of the start message that the simulator sends, so the same module runs in both. This is a
 change of names only: every default and every bound is in schema.cue.
 """
 
--- /dev/null
+++ b/ochrecourse/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that lets the simulator ask the scheduler over its wire."""
--- a/ochrecourse/drill/__main__.py
+++ b/ochrecourse/simulator/__main__.py
@@ -1,23 +1,23 @@
-"""Drills the decisions: reads batches from standard input, writes one reply for each to standard output."""
+"""Serves the simulator: reads batches from standard input, writes one reply for each to standard output."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
-from ochrecourse.decide import Host
-from ochrecourse.drill import frames
-from ochrecourse.drill.frames import BadFrame, Batch
-from ochrecourse.interface import Leg, MissingValue
+from ochrecourse.decide import Scheduler
+from ochrecourse.simulator import frames
+from ochrecourse.simulator.frames import BadFrame, Batch
+from ochrecourse.interface import Attempt, MissingValue
 
 LONGEST_WAKE = 3_600_000_000_000  # ns; the wire takes no timer of more than 71 minutes
 
 
-class Seat:
+class Instance:
     """One instance: its decisions, the names in its load reports, and its earliest timer still to come."""
 
-    def __init__(self, host: Host, load_names: list[str]) -> None:
-        self.host = host
+    def __init__(self, scheduler: Scheduler, load_names: list[str]) -> None:
+        self.scheduler = scheduler
         self.load_names = load_names
         self.wake_at: int | None = None
 
@@ -35,42 +35,42 @@
     return number, count, frames.to_ns(clock), Batch(body)
 
 
-def take_record(seats: dict[int, Seat], batch: Batch, now: int) -> int:
+def take_record(instances: dict[int, Instance], batch: Batch, now: int) -> int:
     """Reports one record to the instance that it names, and returns that instance."""
     code, gateway = batch.tag()
     if code == frames.CONFIGURE:
         seed, values = batch.start()
         names = [name for name in values.get("Stats.Fields", "").split(",") if name]
-        seats[gateway] = Seat(Host(values, seed, now), names)
+        instances[gateway] = Instance(Scheduler(values, seed, now), names)
         return gateway
-    seat = seats.get(gateway)
-    host = seat.host if seat else None
+    instance = instances.get(gateway)
+    scheduler = instance.scheduler if instance else None
     if code == frames.CRASH:
-        seats.pop(gateway, None)
+        instances.pop(gateway, None)
     elif code == frames.LIST:
         kind, entries = batch.nodes()
-        if host:
-            host.list_came(kind, entries, now)
-    elif code == frames.JOB:
-        job = batch.job()
-        if host:
-            host.job_came(job, now)
-    elif code == frames.LEG_END:
-        end = batch.leg_end(seat.load_names if seat else [])
-        if host:
-            host.leg_ended(end, now)
+        if scheduler:
+            scheduler.list_received(kind, entries, now)
+    elif code == frames.REQUEST:
+        request = batch.request()
+        if scheduler:
+            scheduler.request_received(request, now)
+    elif code == frames.ATTEMPT_END:
+        end = batch.attempt_end(instance.load_names if instance else [])
+        if scheduler:
+            scheduler.attempt_ended(end, now)
     elif code == frames.DUE:
         token = batch.token()
-        if seat and token == seat.wake_at:
-            seat.wake_at = None
-    elif code == frames.GONE:
+        if instance and token == instance.wake_at:
+            instance.wake_at = None
+    elif code == frames.CANCELLED:
         ref = batch.number()
-        if host:
-            host.job_gone(ref)
+        if scheduler:
+            scheduler.request_cancelled(ref)
     elif code == frames.STREAM:
         ref = batch.stream()
-        if host:
-            host.stream_began(ref)
+        if scheduler:
+            scheduler.stream_began(ref)
     elif code == frames.PROBED:
         batch.skip_probe()
     elif code == frames.MESSAGE:
@@ -80,27 +80,29 @@
     return gateway
 
 
-def pull(gateway: int, seat: Seat, now: int, out: list[bytes]) -> None:
+def pull(gateway: int, instance: Instance, now: int, out: list[bytes]) -> None:
     """Writes each decision of one instance, and a timer where it wants to be asked sooner than set."""
-    while (said := seat.host.decide(now)) is not None:
-        out.append(frames.answer(gateway, said))
-        if isinstance(said, Leg):
-            seat.host.attempt_written(said.job, now)  # actions take effect at the batch's time
-    due = min(max(seat.host.next_due(), now + 1000), now + LONGEST_WAKE)
-    if seat.wake_at is None or due < seat.wake_at:
-        seat.wake_at = due
+    while (decision := instance.scheduler.decide(now)) is not None:
+        out.append(frames.answer(gateway, decision))
+        if isinstance(decision, Attempt):
+            instance.scheduler.attempt_written(
+                decision.request_id, now
+            )  # actions take effect at the batch's time
+    due = min(max(instance.scheduler.next_due(), now + 1000), now + LONGEST_WAKE)
+    if instance.wake_at is None or due < instance.wake_at:
+        instance.wake_at = due
         out.append(frames.wake(gateway, due - now, due))
 
 
-def last_line(trouble: Exception) -> int:
-    trace = trouble.__traceback__
+def last_line(error: Exception) -> int:
+    trace = error.__traceback__
     while trace and trace.tb_next:
         trace = trace.tb_next
     return trace.tb_lineno if trace else 0
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    seats: dict[int, Seat] = {}
+    instances: dict[int, Instance] = {}
     while (read := read_batch(source)) is not None:
         number, count, now, batch = read
         touched: dict[int, None] = {}
@@ -108,17 +110,17 @@
         gateway = 0
         try:
             for _ in range(count):
-                gateway = take_record(seats, batch, now)
+                gateway = take_record(instances, batch, now)
                 touched[gateway] = None
             if batch.at != len(batch.body):
                 raise BadFrame(f"batch {number} holds more than its {count} records")
             for gateway in touched:
-                if gateway in seats:
-                    pull(gateway, seats[gateway], now, out)
+                if gateway in instances:
+                    pull(gateway, instances[gateway], now, out)
         except (BadFrame, MissingValue):
             raise
-        except Exception as trouble:  # any failure inside the decisions is told, not swallowed
-            out = [frames.fault(gateway, f"{type(trouble).__name__}: {trouble} (line {last_line(trouble)})")]
+        except Exception as error:  # any failure inside the decisions is reported, not swallowed
+            out = [frames.fault(gateway, f"{type(error).__name__}: {error} (line {last_line(error)})")]
         body = b"".join(out)
         sink.write(frames.REPLY.pack(number, len(out), len(body)) + body)
         sink.flush()
@@ -127,8 +129,8 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except (BadFrame, MissingValue) as trouble:
-        print(f"ochrecourse drill: {trouble}", file=sys.stderr)
+    except (BadFrame, MissingValue) as error:
+        print(f"ochrecourse simulator: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/ochrecourse/drill/frames.py
+++ b/ochrecourse/simulator/frames.py
@@ -5,26 +5,26 @@
 import struct
 
 from ochrecourse.interface import (
-    Answer,
+    Outcome,
     Ending,
     Health,
-    Job,
-    Leg,
-    LegEnd,
+    Request,
+    Attempt,
+    AttemptEnd,
     ListCall,
     ListKind,
     NodeEntry,
-    Verdict,
+    Reply,
 )
 
 HEADER = struct.Struct(">IIId")
 REPLY = struct.Struct(">III")
 
-CONFIGURE, CRASH, LIST, JOB, STREAM = 90, 70, 20, 40, 100
-LEG_END, GONE, DUE, PROBED, MESSAGE = 50, 60, 30, 10, 80
+CONFIGURE, CRASH, LIST, REQUEST, STREAM = 90, 70, 20, 40, 100
+ATTEMPT_END, CANCELLED, DUE, PROBED, MESSAGE = 50, 60, 30, 10, 80
 
 ENDINGS = {
-    100: Ending.FULFILLED,
+    100: Ending.SERVED,
     301: Ending.ERROR,
     302: Ending.FULL,
     303: Ending.TIMEOUT,
@@ -37,17 +37,17 @@
 _CONFIGURE = struct.Struct(">QI")
 _LIST = struct.Struct(">QBI")
 _ENTRY = struct.Struct(">IHHHBfd")
-_JOB = struct.Struct(">IHHQdQfffB")
+_REQUEST = struct.Struct(">IHHQdQfffB")
 _STREAM = struct.Struct(">IdIB")
-_LEG_END = struct.Struct(">IBIHdBHHB")
+_ATTEMPT_END = struct.Struct(">IBIHdBHHB")
 _PROBED = struct.Struct(">IHdB")
 _MESSAGE = struct.Struct(">IH")
 _U32 = struct.Struct(">I")
 _U64 = struct.Struct(">Q")
 _TAG = struct.Struct(">BH")
 _SEND = struct.Struct(">BHIId")
-_DENY = struct.Struct(">BHId")
-_WRITE_OFF = struct.Struct(">BHI")
+_REJECT = struct.Struct(">BHId")
+_FAIL = struct.Struct(">BHI")
 _FOLLOW = struct.Struct(">BHB")
 _DUE = struct.Struct(">BHdQ")
 _TEXT = struct.Struct(">BHH")
@@ -115,14 +115,14 @@
             raise BadFrame(f"unknown kind of list {kind}")
         return ListKind(int(kind)), entries
 
-    def job(self) -> Job:
-        ref, product, plan, key, timeout, volume, units, shard, gateways, _ = self.take(_JOB)
+    def request(self) -> Request:
+        ref, request_class, tenant, key, timeout, volume, units, shard, gateways, _ = self.take(_REQUEST)
         if not all(-1e9 < figure < 1e9 for figure in (units, shard, gateways)):
             raise BadFrame(f"job {ref} has a figure out of range")
-        return Job(
+        return Request(
             id=int(ref),
-            product=int(product),
-            plan=int(plan),
+            request_class=int(request_class),
+            tenant=int(tenant),
             volume=int(volume),
             key=int(key),
             units=units,
@@ -138,14 +138,14 @@
         values = self.take(struct.Struct(f">{count}f"))
         return dict(zip(names, values, strict=False))
 
-    def leg_end(self, names: list[str]) -> LegEnd:
-        ref, number, node, code, took, last, used, elsewhere, count = self.take(_LEG_END)
+    def attempt_end(self, names: list[str]) -> AttemptEnd:
+        ref, number, node, code, took, last, used, elsewhere, count = self.take(_ATTEMPT_END)
         ending = ENDINGS.get(int(code))
         if ending is None:
             raise BadFrame(f"unknown ending {code}")
         load = self.load(int(count), names)
-        return LegEnd(
-            job=int(ref),
+        return AttemptEnd(
+            request_id=int(ref),
             number=int(number),
             node=int(node),
             ending=ending,
@@ -163,15 +163,15 @@
         self.text(int(self.take(_MESSAGE)[1]))
 
 
-def answer(gateway: int, said: Leg | Verdict | ListCall) -> bytes:
+def answer(gateway: int, decision: Attempt | Reply | ListCall) -> bytes:
     """One decision as a record of the reply."""
-    if isinstance(said, Leg):
-        return _SEND.pack(10, gateway, said.job, said.node, said.time_out / 1e6)
-    if isinstance(said, ListCall):
+    if isinstance(decision, Attempt):
+        return _SEND.pack(10, gateway, decision.request_id, decision.node, decision.time_out / 1e6)
+    if isinstance(decision, ListCall):
         return _FOLLOW.pack(110, gateway, 1)
-    if said.answer is Answer.DENIED:
-        return _DENY.pack(20, gateway, said.job, said.come_back / 1e6)
-    return _WRITE_OFF.pack(30, gateway, said.job)
+    if decision.outcome is Outcome.REJECTED:
+        return _REJECT.pack(20, gateway, decision.request_id, decision.retry_after / 1e6)
+    return _FAIL.pack(30, gateway, decision.request_id)
 
 
 def wake(gateway: int, span: int, token: int) -> bytes:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,10 +6,10 @@
 import pytest
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
 
-from ochrecourse.decide import MS, SECOND, Host
+from ochrecourse.decide import MS, SECOND, Scheduler
 from ochrecourse.gateway.front import FrontFactory
 from ochrecourse.gateway.gateway import Gateway
-from ochrecourse.interface import Ending, Health, Job, LegEnd, ListKind, NodeEntry
+from ochrecourse.interface import Ending, Health, Request, AttemptEnd, ListKind, NodeEntry
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.nodes.link import dialler
 from ochrecourse.wire import messages as m
@@ -89,22 +89,22 @@
 
     def __init__(self, **changes: str) -> None:
         values = {**VALUES, **{name.replace("__", "."): value for name, value in changes.items()}}
-        self.host = Host(values, 7, START)
-        self.host.list_came(ListKind.CACHED, NODES, START)
+        self.scheduler = Scheduler(values, 7, START)
+        self.scheduler.list_received(ListKind.CACHED, NODES, START)
         self.number = 0
 
-    def take(self, now=START, product=0, plan=0, volume=1, key=0, units=2.0, shard=0, patience=2 * SECOND):
+    def take(self, now=START, request_class=0, tenant=0, volume=1, key=0, units=2.0, shard=0, patience=2 * SECOND):
         self.number += 1
-        self.host.job_came(Job(self.number, product, plan, volume, key, units, shard, 2, now + patience), now)
+        self.scheduler.request_received(Request(self.number, request_class, tenant, volume, key, units, shard, 2, now + patience), now)
         return self.number
 
-    def end(self, leg, now, ending=Ending.FULFILLED, took=30 * MS, used=-1.0):
-        last = ending is Ending.FULFILLED
-        self.host.leg_ended(LegEnd(leg.job, leg.number, leg.node, ending, took, last, used, 0, {}), now)
+    def end(self, leg, now, ending=Ending.SERVED, took=30 * MS, used=-1.0):
+        last = ending is Ending.SERVED
+        self.scheduler.attempt_ended(AttemptEnd(leg.request_id, leg.number, leg.node, ending, took, last, used, 0, {}), now)
 
     def pull(self, now=START):
         said = []
-        while (one := self.host.decide(now)) is not None:
+        while (one := self.scheduler.decide(now)) is not None:
             said.append(one)
         return said
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -5,8 +5,8 @@
 
 from ochrecourse.audit import records as r
 from ochrecourse.audit.judge import RULES, Figures, ProductRule, audit
-from ochrecourse.decide import Host
-from ochrecourse.interface import Ending, Health, Leg, ListKind, NodeEntry, Verdict
+from ochrecourse.decide import Scheduler
+from ochrecourse.interface import Ending, Health, Attempt, ListKind, NodeEntry, Reply
 from ochrecourse.lab.baselines import Textbook
 from ochrecourse.lab.day import Day, Habits, RuleFigures, Trouble
 from ochrecourse.lab.days import KINDS, PLANS, PRODUCTS, one_trouble, quiet
@@ -29,44 +29,44 @@
     return msgspec.structs.replace(day, **changes)
 
 
-def broken_rules(day, decisions=Host):
+def broken_rules(day, decisions=Scheduler):
     verdict = audit(figures_of(day), VirtualPlay(day, decisions).run().records)
     return [number for number, each in enumerate(verdict.findings, 1) if each.breaches], verdict
 
 
-class Forgetful(Host):
+class Forgetful(Scheduler):
     """Forgets to answer one job in forty."""
 
     def decide(self, now):
         said = super().decide(now)
-        while isinstance(said, Verdict) and said.job % 5 == 0:
+        while isinstance(said, Reply) and said.request_id % 5 == 0:
             said = super().decide(now)
         return said
 
 
-class Repeating(Host):
+class Repeating(Scheduler):
     """Sends a binding job again after a time-out."""
 
     def __init__(self, values, seed, now):
         super().__init__(values, seed, now)
         self.again = []
 
-    def leg_ended(self, end, now):
-        held = self.jobs.get(end.job)
-        if end.ending is Ending.TIMEOUT and held and held.product.effect == "unsafe" and end.number == 0:
-            self.again.append(Leg(end.job, 1, end.node, 0))
-        super().leg_ended(end, now)
+    def attempt_ended(self, end, now):
+        pending = self.requests.get(end.request_id)
+        if end.ending is Ending.TIMEOUT and pending and pending.kind.effect == "unsafe" and end.number == 0:
+            self.again.append(Attempt(end.request_id, 1, end.node, 0))
+        super().attempt_ended(end, now)
 
     def decide(self, now):
         return self.again.pop() if self.again else super().decide(now)
 
 
-class Deaf(Host):
+class Deaf(Scheduler):
     """Takes no notice of drains."""
 
-    def list_came(self, kind, entries, now):
+    def list_received(self, kind, entries, now):
         kept = [NodeEntry(e.node, e.zone, e.shard, Health.READY, e.started) for e in entries if e.health is not Health.GONE]
-        super().list_came(ListKind.DELTA if kind is ListKind.DELTA else kind, kept, now)
+        super().list_received(ListKind.DELTA if kind is ListKind.DELTA else kind, kept, now)
 
 
 def textbook(values, seed, now):
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -431,7 +431,7 @@
     here.loop.settle()
     sent = here.service.gateway.ledger.legs
     assert sent == bool(before)
-    assert here.service.gateway.host.next_due() > (here.loop.now + 0.2) * SECOND  # no timer sees to it
+    assert here.service.gateway.scheduler.next_due() > (here.loop.now + 0.2) * SECOND  # no timer sees to it
     slow.theirs.send(b"x")
     client.sendall(read(2, d=60_000))
     client.close()
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,6 +1,6 @@
 """What cold nodes get from all gateways together, counted outside of them, on drawn days on one virtual clock.
 
-A day plays a fleet of `Host`s without a network: uneven and common bursts of requests, nodes that start or
+A day plays a fleet of `Scheduler`s without a network: uneven and common bursts of requests, nodes that start or
 return at different moments and warm at a pace that nobody is told, and gateways that restart meanwhile.
 """
 
@@ -11,8 +11,8 @@
 
 import pytest
 
-from ochrecourse.decide import COUNTED, MS, SECOND, Host
-from ochrecourse.interface import Ending, Health, Job, Leg, LegEnd, ListKind, NodeEntry, Verdict
+from ochrecourse.decide import COUNTED, MS, SECOND, Scheduler
+from ochrecourse.interface import Ending, Health, Request, Attempt, AttemptEnd, ListKind, NodeEntry, Reply
 
 START = 1000 * SECOND  # clock time at which a day begins
 SIZES = (1, 2, 3, 4, 6, 8)  # units of a request
@@ -42,7 +42,7 @@
             return Ending.FULL, at + 2 * MS
         work = units * self.day.luck.uniform(0.5, 1.5)
         self.busy = max(at, self.busy) + round(work / self.capacity(at))
-        return Ending.FULFILLED, self.busy + self.day.travel
+        return Ending.SERVED, self.busy + self.day.travel
 
     def windows(self):
         """Of each attempt that came to the cold node: requests of mean work in the time before, and N then."""
@@ -60,7 +60,7 @@
 class Day:
     """A drawn day of a fleet: its settings, nodes and what comes when. `build` makes a gateway."""
 
-    def __init__(self, seed, gateways, build=Host, luck=0, harder=1.0, **said):
+    def __init__(self, seed, gateways, build=Scheduler, luck=0, harder=1.0, **said):
         self.draw = draw = random.Random(seed)
         self.luck = random.Random(seed + luck * 10**6)  # what gateways draw, and each request's real work
         self.gateways, self.build = gateways, build
@@ -83,7 +83,7 @@
         self.nodes = [ColdNode(self, number) for number in range(draw.randint(1, 3))]
         self.events, self.order = [], count()
         self.lead = round(draw.uniform(2, 30) * SECOND)  # for which gateways have been up and asked, to no avail
-        self.hosts = [self.gateway(START - self.lead) for _ in range(gateways)]
+        self.schedulers = [self.gateway(START - self.lead) for _ in range(gateways)]
         self.lives = [0] * gateways
         self.told = [{} for _ in range(gateways)]  # by node: the entry that a gateway has
         self.numbers = count(1)
@@ -143,12 +143,12 @@
 
     def tell(self, now, number, node, health, started):
         entry = self.told[number][node.id] = NodeEntry(node.id, 0, node.id, health, started)
-        self.hosts[number].list_came(ListKind.DELTA, [entry], now)
+        self.schedulers[number].list_received(ListKind.DELTA, [entry], now)
 
     def restart(self, number):
         self.lives[number] += 1
-        self.hosts[number] = self.gateway(self.now)
-        self.hosts[number].list_came(ListKind.CACHED, list(self.told[number].values()), self.now)
+        self.schedulers[number] = self.gateway(self.now)
+        self.schedulers[number].list_received(ListKind.CACHED, list(self.told[number].values()), self.now)
         self.pull(number)
 
     def request(self, when, number, node):
@@ -156,16 +156,16 @@
 
     def come(self, number, node, units):
         self.asked += 1
-        job = Job(next(self.numbers), 0, 0, 0, 0, units, node.id, 1, self.now + 2 * self.patience)
-        self.hosts[number].job_came(job, self.now)
+        request = Request(next(self.numbers), 0, 0, 0, 0, units, node.id, 1, self.now + 2 * self.patience)
+        self.schedulers[number].request_received(request, self.now)
         self.pull(number)
 
-    def end(self, number, life, leg, ending, sent):
-        self.answered += ending is Ending.FULFILLED
+    def end(self, number, life, attempt, ending, sent):
+        self.answered += ending is Ending.SERVED
         if life == self.lives[number]:
-            last, took = ending is Ending.FULFILLED, self.now - sent
-            end = LegEnd(leg.job, leg.number, leg.node, ending, took, last, -1, 0, {})
-            self.hosts[number].leg_ended(end, self.now)
+            last, took = ending is Ending.SERVED, self.now - sent
+            end = AttemptEnd(attempt.request_id, attempt.number, attempt.node, ending, took, last, -1, 0, {})
+            self.schedulers[number].attempt_ended(end, self.now)
             self.pull(number)
 
     def wake(self, number, due):
@@ -173,13 +173,13 @@
             self.pull(number)
 
     def pull(self, number):
-        host, now = self.hosts[number], self.now
-        while (said := host.decide(now)) is not None:
-            if isinstance(said, Leg):
+        scheduler, now = self.schedulers[number], self.now
+        while (said := scheduler.decide(now)) is not None:
+            if isinstance(said, Attempt):
                 node = self.nodes[said.node]
-                ending, when = node.take(now, host.jobs[said.job].job.units)
+                ending, when = node.take(now, scheduler.requests[said.request_id].request.units)
                 self.at(when, self.end, number, self.lives[number], said, ending, now)
-        if host.jobs and self.awake[number] != (due := max(now + 1, host.next_due())):
+        if scheduler.requests and self.awake[number] != (due := max(now + 1, scheduler.next_due())):
             self.awake[number] = due
             self.at(due, self.wake, number, due)
 
@@ -199,7 +199,7 @@
 SEEDS = [(gateways, seed) for gateways, seeds in FLEETS for seed in seeds]
 
 
-def played(gateways, seed, build=Host):
+def played(gateways, seed, build=Scheduler):
     return Day(1000 * gateways + seed, gateways, build).plan().play()
 
 
@@ -240,7 +240,7 @@
     assert expected(lambda luck: Day(1000 * gateways + seed, gateways, luck=luck).plan().play()) <= 1
 
 
-class AllGo(Host):
+class AllGo(Scheduler):
     """Mistake: a cold node is sent all that comes."""
 
     def _spared(self, node):
@@ -250,14 +250,14 @@
         return 0
 
 
-class OwnRushOnly(Host):
+class OwnRushOnly(Scheduler):
     """Mistake: each gateway keeps to its own part, and its first request is free."""
 
     def _spared(self, node):
         return False
 
 
-class ChanceAlone(Host):
+class ChanceAlone(Scheduler):
     """Mistake: chance alone, which does not see a gateway that sends again and again."""
 
     def _too_cold(self, node):
@@ -272,12 +272,12 @@
 
 def test_under_overload_cold_nodes_get_little_too_much():
     """No gateway can tell how overloaded all are; what is beyond the rule stays a third of what it is without the law."""
-    assert overload(Host) <= overload(AllGo) / 3
+    assert overload(Scheduler) <= overload(AllGo) / 3
 
 
 @pytest.mark.parametrize("build", [AllGo, OwnRushOnly, ChanceAlone])
 def test_the_count_sees_each_mistake(build):
-    assert overload(build) > 1.5 * overload(Host)
+    assert overload(build) > 1.5 * overload(Scheduler)
 
 
 def steady(seed, gateways, demand, **said):
@@ -320,18 +320,18 @@
     day = Day(
         1, gateways, fall=SECOND, cold=60 * SECOND, cold_units=40.0, usual=2.0, patience=2 * SECOND, factor=2.5, least=0.26,
     )  # fmt: skip
-    host = day.build({**day.values(), "Instances": str(gateways)}, seed, began)
-    return begin(host, began, began - 90 * SECOND)
+    scheduler = day.build({**day.values(), "Instances": str(gateways)}, seed, began)
+    return begin(scheduler, began, began - 90 * SECOND)
 
 
-def begin(host, now=TOLD, started=TOLD):
-    host.list_came(ListKind.DELTA, [NodeEntry(7, 0, 0, Health.READY, started)], now)
-    return host
+def begin(scheduler, now=TOLD, started=TOLD):
+    scheduler.list_received(ListKind.DELTA, [NodeEntry(7, 0, 0, Health.READY, started)], now)
+    return scheduler
 
 
-def ask(host, number, now, units=2.0, shard=0, patience=SECOND):
-    host.job_came(Job(number, 0, 0, 0, 0, units, shard, 1, now + patience), now)
-    return [type(said) for said in iter(lambda: host.decide(now), None)]
+def ask(scheduler, number, now, units=2.0, shard=0, patience=SECOND):
+    scheduler.request_received(Request(number, 0, 0, 0, 0, units, shard, 1, now + patience), now)
+    return [type(said) for said in iter(lambda: scheduler.decide(now), None)]
 
 
 HEAVY = 1e6  # units asked for of late: what is sure is next to nothing of it
@@ -343,9 +343,9 @@
     """Of so many gateways that were asked for so many units of late, this request's too: how many send it."""
     count = 0
     for seed in range(times):
-        host = begin(gateway(seed=seed))
-        host.load, host.load_at = load - 2.0, now
-        count += ask(host, 1, now) == [Leg]
+        scheduler = begin(gateway(seed=seed))
+        scheduler.load, scheduler.load_at = load - 2.0, now
+        count += ask(scheduler, 1, now) == [Attempt]
     return count / times
 
 
@@ -362,54 +362,54 @@
 
 def test_nothing_is_left_to_chance_where_the_part_holds_a_usual_request():
     for seed in range(50):
-        host = begin(gateway(gateways=20, seed=seed))
-        host.load, host.load_at, host.bears = HEAVY, TOLD, 0.0
-        assert ask(host, 1, TOLD) == [Leg]
+        scheduler = begin(gateway(gateways=20, seed=seed))
+        scheduler.load, scheduler.load_at, scheduler.bears = HEAVY, TOLD, 0.0
+        assert ask(scheduler, 1, TOLD) == [Attempt]
 
 
 def test_what_was_asked_counts_less_the_longer_ago_it_was():
-    host = begin(gateway())
-    host.load, host.load_at = 10.0, TOLD
-    ask(host, 1, TOLD + COUNTED)
-    assert host.load == pytest.approx(10.0 * 0.366 + 2.0, rel=0.01)
+    scheduler = begin(gateway())
+    scheduler.load, scheduler.load_at = 10.0, TOLD
+    ask(scheduler, 1, TOLD + COUNTED)
+    assert scheduler.load == pytest.approx(10.0 * 0.366 + 2.0, rel=0.01)
 
 
 def test_what_all_nodes_are_asked_counts_not_what_one_is():
     """Guards against gateways that take few shards' requests for all there are, or all of them for one node's."""
-    host = begin(gateway())
-    host.list_came(ListKind.DELTA, [NodeEntry(8 + i, 0, 1 + i, Health.READY, 0) for i in range(9)], TOLD)
-    host.load, host.load_at = 0.0, TOLD
-    ask(host, 1, TOLD, shard=4)
-    assert host.load == pytest.approx(0.2)
+    scheduler = begin(gateway())
+    scheduler.list_received(ListKind.DELTA, [NodeEntry(8 + i, 0, 1 + i, Health.READY, 0) for i in range(9)], TOLD)
+    scheduler.load, scheduler.load_at = 0.0, TOLD
+    ask(scheduler, 1, TOLD, shard=4)
+    assert scheduler.load == pytest.approx(0.2)
 
 
 def test_a_request_that_may_not_go_is_answered_at_once_and_another_node_may_take_the_next():
-    host = begin(gateway())
-    host.load, host.load_at, host.bears = HEAVY, TOLD, 0.0
-    assert ask(host, 1, TOLD) == [Verdict] and not host.jobs
-    host.list_came(ListKind.DELTA, [NodeEntry(8, 0, 0, Health.READY, 0)], TOLD)
-    assert ask(host, 2, TOLD) == [Leg]
+    scheduler = begin(gateway())
+    scheduler.load, scheduler.load_at, scheduler.bears = HEAVY, TOLD, 0.0
+    assert ask(scheduler, 1, TOLD) == [Reply] and not scheduler.requests
+    scheduler.list_received(ListKind.DELTA, [NodeEntry(8, 0, 0, Health.READY, 0)], TOLD)
+    assert ask(scheduler, 2, TOLD) == [Attempt]
 
 
 def test_new_objects_go_to_nodes_that_are_warm():
-    host = begin(gateway())
-    host.list_came(ListKind.DELTA, [NodeEntry(8, 0, 1, Health.READY, 0)], TOLD)
-    host.load, host.load_at, host.bears = HEAVY, TOLD, 0.0
-    host.job_came(Job(1, 0, 0, 0, 0, 2.0, -1, 1, TOLD + SECOND), TOLD)
-    assert [said.node for said in iter(lambda: host.decide(TOLD), None)] == [8]
+    scheduler = begin(gateway())
+    scheduler.list_received(ListKind.DELTA, [NodeEntry(8, 0, 1, Health.READY, 0)], TOLD)
+    scheduler.load, scheduler.load_at, scheduler.bears = HEAVY, TOLD, 0.0
+    scheduler.request_received(Request(1, 0, 0, 0, 0, 2.0, -1, 1, TOLD + SECOND), TOLD)
+    assert [said.node for said in iter(lambda: scheduler.decide(TOLD), None)] == [8]
 
 
 def test_a_gateway_that_begins_counts_on_as_much_work_as_warm_nodes_can_do():
     """Guards against a fleet that restarts while nodes are cold, and takes what it has not seen for silence."""
-    sent = sum(ask(begin(gateway(began=TOLD - 1, seed=seed)), 1, TOLD) == [Leg] for seed in range(400))
+    sent = sum(ask(begin(gateway(began=TOLD - 1, seed=seed)), 1, TOLD) == [Attempt] for seed in range(400))
     assert sent / 400 == pytest.approx(LIKELY * BEARS, abs=0.08)
 
 
 def test_what_waits_at_a_node_that_starts_anew_is_looked_at_again():
     """Guards against a queue from before the start, which would go to the cold node as if it were warm."""
-    host = gateway()
-    host.nodes[7].window = 1.0
-    assert ask(host, 1, TOLD - 1) == [Leg] and ask(host, 2, TOLD - 1) == []
-    host.load, host.load_at, host.bears = HEAVY, TOLD, 0.0
-    begin(host, TOLD, TOLD)
-    assert [type(one) for one in iter(lambda: host.decide(TOLD), None)] == [Verdict]
+    scheduler = gateway()
+    scheduler.nodes[7].window = 1.0
+    assert ask(scheduler, 1, TOLD - 1) == [Attempt] and ask(scheduler, 2, TOLD - 1) == []
+    scheduler.load, scheduler.load_at, scheduler.bears = HEAVY, TOLD, 0.0
+    begin(scheduler, TOLD, TOLD)
+    assert [type(one) for one in iter(lambda: scheduler.decide(TOLD), None)] == [Reply]
--- a/tests/test_fleet_grey.py
+++ b/tests/test_fleet_grey.py
@@ -262,7 +262,7 @@
 def test_an_answer_or_a_reset_counts_however_late_the_loop_is():
     watch = watched()
     watch.turn(SECOND)
-    assert ends(watch, Ending.FULFILLED, SECOND, 2 * SECOND).run == 0
+    assert ends(watch, Ending.SERVED, SECOND, 2 * SECOND).run == 0
     assert ends(watch, Ending.RESET, SECOND, 2 * SECOND, number=2).run == 1
 
 
--- a/tests/test_fleet_part.py
+++ b/tests/test_fleet_part.py
@@ -497,7 +497,7 @@
     watch.nodes_are([*nodes, NodeEntry(3, 1, 0, Health.GONE, 0)], 0)
     assert zones.nodes == {1: (0, 0, True, 0), 2: (1, 0, True, 65 * SECOND)}
 
-    def leg(job, node, sent, ended=None, ending=Ending.FULFILLED):
+    def leg(job, node, sent, ended=None, ending=Ending.SERVED):
         if job not in books.jobs:
             books.take(JobStory(job, 0, 0, 1, 2.0, sent, sent + SECOND, sent + SECOND))
         story = books.send(job, len(books.jobs[job].legs), node, sent)
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -36,7 +36,7 @@
     return own(legs, now).sight(NODES, set(troubled), set(accused), (), now)
 
 
-GOOD, SILENT, REFUSED = Ending.FULFILLED, Ending.TIMEOUT, Ending.UNREACHABLE
+GOOD, SILENT, REFUSED = Ending.SERVED, Ending.TIMEOUT, Ending.UNREACHABLE
 
 
 def test_where_all_is_well_a_sight_tells_next_to_nothing():
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,21 +2,21 @@
 
 from conftest import START, VALUES
 
-from ochrecourse.decide import CAPACITY, MS, QUEUE, SECOND, TRIMMED, Host
-from ochrecourse.interface import Answer, Ending, Health, Leg, ListKind, NodeEntry, Verdict
+from ochrecourse.decide import CAPACITY, MS, QUEUE, SECOND, TRIMMED, Scheduler
+from ochrecourse.interface import Outcome, Ending, Health, Attempt, ListKind, NodeEntry, Reply
 
 
 def test_new_volume_resets_every_bound_to_the_even_split(desk):
     desk.take(volume=1)
     desk.pull()
-    desk.host.nodes[70].flows[1].bound = 1.0
+    desk.scheduler.nodes[70].flows[1].bound = 1.0
     desk.take(volume=2)
     desk.pull()
-    assert [flow.bound for flow in desk.host.nodes[70].flows.values()] == [QUEUE / 2, QUEUE / 2]
+    assert [flow.bound for flow in desk.scheduler.nodes[70].flows.values()] == [QUEUE / 2, QUEUE / 2]
 
 
 def test_above_average_volume_is_halved_at_a_loaded_node(desk):
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     node.window = 32.0
     desk.take(volume=1, units=2.0)
     desk.take(volume=2, units=CAPACITY)
@@ -26,16 +26,16 @@
 
 def test_squeezed_bound_regrows_on_an_answer(desk):
     desk.take()
-    leg = desk.pull()[0]
-    desk.host.nodes[70].flows[1].bound = 3.0
-    desk.end(leg, START + 30 * MS)
-    assert desk.host.nodes[70].flows[1].bound == 4.0
+    attempt = desk.pull()[0]
+    desk.scheduler.nodes[70].flows[1].bound = 3.0
+    desk.end(attempt, START + 30 * MS)
+    assert desk.scheduler.nodes[70].flows[1].bound == 4.0
 
 
 def test_positive_runs_score_trades_bound_for_runs(desk):
     desk.take(key=9)
     desk.pull()
-    flow = desk.host.nodes[70].flows[1]
+    flow = desk.scheduler.nodes[70].flows[1]
     flow.score, flow.score_at = 3.0, START
     desk.take(key=9)
     desk.pull()
@@ -43,7 +43,7 @@
 
 
 def test_total_is_trimmed_while_a_recent_volume_is_empty(desk):
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     node.window = 32.0
     desk.take()
     desk.pull()
@@ -54,30 +54,30 @@
 
 
 def test_held_jobs_leave_by_plan_weighted_tags(desk):
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     node.window = 1.0
-    desk.take(plan=0, volume=9)
+    desk.take(tenant=0, volume=9)
     busy = desk.pull()[0]
-    jobs = {desk.take(plan=plan, volume=plan): plan for plan in (1, 2) for _ in range(4)}
-    desk.host.volumes[1].limit = 0.0
+    requests = {desk.take(tenant=plan, volume=plan): plan for plan in (1, 2) for _ in range(4)}
+    desk.scheduler.volumes[1].limit = 0.0
     order = []
     for step in range(1, 7):
         desk.end(busy, START + step * MS, took=MS)
         node.window = 1.0
         busy = desk.pull(START + step * MS)[0]
-        order.append(jobs[busy.job])
+        order.append(requests[busy.request_id])
     assert order == [1, 2, 2, 1, 2, 2]
 
 
 def test_job_inside_the_reserve_does_not_wait_for_its_volume_s_tags(desk):
-    desk.host.nodes[70].window = 1.0
-    desk.take(plan=2, volume=3)
+    desk.scheduler.nodes[70].window = 1.0
+    desk.take(tenant=2, volume=3)
     busy = desk.pull()[0]
-    desk.take(plan=2, volume=4)
-    reserved = desk.take(plan=0, volume=5)
+    desk.take(tenant=2, volume=4)
+    reserved = desk.take(tenant=0, volume=5)
     desk.pull()
     desk.end(busy, START + 10 * MS)
-    assert desk.pull(START + 10 * MS)[0].job == reserved
+    assert desk.pull(START + 10 * MS)[0].request_id == reserved
 
 
 def test_late_answers_shrink_the_window_once_for_legs_out_together(desk):
@@ -85,151 +85,151 @@
     desk.take(volume=2)
     first, second = desk.pull()
     desk.end(first, START + 200 * MS, took=200 * MS)
-    window = desk.host.nodes[70].window
+    window = desk.scheduler.nodes[70].window
     desk.end(second, START + 201 * MS, took=201 * MS)
-    assert window < 2.0 and desk.host.nodes[70].window == window
+    assert window < 2.0 and desk.scheduler.nodes[70].window == window
 
 
 def test_unanswered_leg_stops_counting(desk):
-    desk.take(product=2)
-    leg = desk.pull()[0]
-    assert leg.time_out == 0
+    desk.take(request_class=2)
+    attempt = desk.pull()[0]
+    assert attempt.time_out == 0
     desk.pull(START + 700 * MS)
-    assert desk.host.nodes[70].out == 0 and desk.host.nodes[70].window < 2.0
-    desk.end(leg, START + 800 * MS)
-    assert desk.host.nodes[70].out == 0
+    assert desk.scheduler.nodes[70].out == 0 and desk.scheduler.nodes[70].window < 2.0
+    desk.end(attempt, START + 800 * MS)
+    assert desk.scheduler.nodes[70].out == 0
 
 
 def test_fast_failure_waits_before_its_further_leg(desk):
     desk.take()
     desk.end(desk.pull()[0], START + MS, Ending.ERROR, took=MS)
     assert desk.pull(START + 2 * MS) == []
-    assert [type(said) for said in desk.pull(START + 31 * MS)] == [Leg]
+    assert [type(said) for said in desk.pull(START + 31 * MS)] == [Attempt]
 
 
 def test_job_under_the_payoff_floor_is_denied_at_a_busy_node(desk):
     desk.take()
     desk.pull()
-    desk.host.nodes[70].floor = 1.0
-    cheap = desk.take(plan=2, volume=2)
-    assert [(said.job, said.answer) for said in desk.pull()] == [(cheap, Answer.DENIED)]
+    desk.scheduler.nodes[70].floor = 1.0
+    cheap = desk.take(tenant=2, volume=2)
+    assert [(said.request_id, said.outcome) for said in desk.pull()] == [(cheap, Outcome.REJECTED)]
 
 
 def test_hasty_client_is_denied_at_an_idle_node(desk):
     hasty = desk.take(patience=20 * MS)
-    assert [said.job for said in desk.pull() if isinstance(said, Verdict)] == [hasty]
+    assert [said.request_id for said in desk.pull() if isinstance(said, Reply)] == [hasty]
 
 
 def test_new_objects_follow_what_nodes_manage(desk):
-    desk.host.nodes[70].window, desk.host.nodes[71].window = 3.0, 1.0
-    places = [desk.host._place(held).id for held in self_made(desk, 8)]
+    desk.scheduler.nodes[70].window, desk.scheduler.nodes[71].window = 3.0, 1.0
+    places = [desk.scheduler._place(pending).id for pending in self_made(desk, 8)]
     assert places.count(70) == 6
 
 
 def self_made(desk, count):
     for _ in range(count):
-        yield desk.host.jobs[desk.take(shard=-1)]
+        yield desk.scheduler.requests[desk.take(shard=-1)]
 
 
 def test_late_totals_move_a_volume_s_share_here(desk):
-    volume = desk.host.volumes.get(1) or desk.host.volumes.setdefault(1, desk.host.jobs[desk.take()].volume)
+    volume = desk.scheduler.volumes.get(1) or desk.scheduler.volumes.setdefault(1, desk.scheduler.requests[desk.take()].volume)
     for _ in range(40):
         volume.served(0.0, 1.0, START)
     assert volume.share < 0.05
 
 
 def test_cheap_job_waits_out_one_usual_answer_before_an_idle_node_takes_it(desk):
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     node.floor, node.heard, node.eased = 1.0, START, START
-    cheap = desk.take(plan=2, volume=2)
-    assert [(said.job, said.answer) for said in desk.pull()] == [(cheap, Answer.DENIED)]
-    desk.take(START + 200 * MS, plan=2, volume=2)
-    assert isinstance(desk.pull(START + 200 * MS)[0], Leg)
+    cheap = desk.take(tenant=2, volume=2)
+    assert [(said.request_id, said.outcome) for said in desk.pull()] == [(cheap, Outcome.REJECTED)]
+    desk.take(START + 200 * MS, tenant=2, volume=2)
+    assert isinstance(desk.pull(START + 200 * MS)[0], Attempt)
 
 
 def test_shortest_promised_time_sets_what_any_answer_may_take(desk):
-    desk.host.products[0].promised = 100 * MS
-    desk.take(product=2)
+    desk.scheduler.kinds[0].deadline = 100 * MS
+    desk.take(request_class=2)
     desk.end(desk.pull()[0], START + 60 * MS, took=60 * MS)
-    assert desk.host.nodes[70].window < 2.0
+    assert desk.scheduler.nodes[70].window < 2.0
 
 
 def test_work_of_little_worth_goes_only_where_answers_are_quick(desk):
-    node = desk.host.nodes[70]
-    node.drag, node.eased, desk.host.products[0].pace = 6.0, START, 20.0 * MS
-    desk.host._spread = lambda: 0.75
-    inside = desk.take(plan=0)
-    beyond = desk.take(plan=2, volume=2)
+    node = desk.scheduler.nodes[70]
+    node.drag, node.eased, desk.scheduler.kinds[0].pace = 6.0, START, 20.0 * MS
+    desk.scheduler._spread = lambda: 0.75
+    inside = desk.take(tenant=0)
+    beyond = desk.take(tenant=2, volume=2)
     said = desk.pull()
-    assert [(one.job, type(one)) for one in said] == [(beyond, Verdict), (inside, Leg)]
+    assert [(one.request_id, type(one)) for one in said] == [(beyond, Reply), (inside, Attempt)]
 
 
 def test_newest_answer_counts_for_more_after_a_gap(desk):
-    node = desk.host.nodes[70]
-    node.heard, desk.host.products[0].seen = START - 30 * SECOND, 8
+    node = desk.scheduler.nodes[70]
+    node.heard, desk.scheduler.kinds[0].seen = START - 30 * SECOND, 8
     desk.take()
     desk.end(desk.pull()[0], START + 200 * MS, took=200 * MS)
     assert node.drag > 4.0
 
 
 def test_jam_is_not_taken_for_the_usual_pace(desk):
-    product = desk.host.products[0]
+    kind = desk.scheduler.kinds[0]
     for _ in range(40):
         desk.take()
-        desk.host.nodes[70].drag = 1.0
+        desk.scheduler.nodes[70].drag = 1.0
         desk.end(desk.pull()[0], START + 10 * SECOND, took=10 * SECOND)
-    assert product.pace * 2.0 < product.promised
+    assert kind.pace * 2.0 < kind.deadline
 
 
 def test_first_answers_of_a_rare_product_set_its_pace(desk):
     """Guards against a guess that still counts after a dozen answers, which at 200 gateways take a minute."""
-    node, product = desk.host.nodes[70], desk.host.products[0]
+    node, kind = desk.scheduler.nodes[70], desk.scheduler.kinds[0]
     for step, took in enumerate((60 * MS, 70 * MS, 80 * MS)):
         now = START + step * SECOND
         desk.take(now)
         node.drag = 1.0
         desk.end(desk.pull(now)[0], now + took, took=took)
-    assert round(product.pace) == 35 * MS  # per unit, all three alike
+    assert round(kind.pace) == 35 * MS  # per unit, all three alike
 
 
 def test_unanswered_legs_double_what_a_node_is_taken_to_need(desk):
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     desk.take()
     desk.end(desk.pull()[0], START + 300 * MS, Ending.TIMEOUT, took=300 * MS)
     assert node.drag > 300 * MS / (20 * MS * 2.0)
 
 
 def test_first_lost_answer_at_a_quick_node_tells_nothing_of_it(desk):
-    node = desk.host.nodes[70]
-    node.quick, node.heard, node.eased, desk.host.lost = True, START, START, 0.1
+    node = desk.scheduler.nodes[70]
+    node.quick, node.heard, node.eased, desk.scheduler.lost = True, START, START, 0.1
     desk.take()
-    leg = desk.pull()[0]
-    assert leg.time_out < 300 * MS
-    desk.end(leg, START + 200 * MS, Ending.TIMEOUT, took=200 * MS)
-    assert node.drag == 1.0 and desk.host.lost > 0.1
+    attempt = desk.pull()[0]
+    assert attempt.time_out < 300 * MS
+    desk.end(attempt, START + 200 * MS, Ending.TIMEOUT, took=200 * MS)
+    assert node.drag == 1.0 and desk.scheduler.lost > 0.1
 
 
 def test_many_late_answers_tell_a_jam_from_lost_ones(desk):
-    desk.host.lost, desk.host.late = 0.1, 0.2
+    desk.scheduler.lost, desk.scheduler.late = 0.1, 0.2
     desk.take()
     assert desk.pull()[0].time_out >= 300 * MS
 
 
 def test_node_without_news_is_taken_to_need_what_all_nodes_did(desk):
-    node = desk.host.nodes[71]
-    desk.host.drag, desk.host.heard, node.eased = 4.0, START, START - 60 * SECOND
-    desk.host._ease(node)
+    node = desk.scheduler.nodes[71]
+    desk.scheduler.drag, desk.scheduler.heard, node.eased = 4.0, START, START - 60 * SECOND
+    desk.scheduler._ease(node)
     assert node.drag > 3.9
 
 
 def test_units_draw_on_the_reserve_then_on_the_usual_rate_then_are_spare(desk):
-    volume = desk.host.jobs[desk.take(plan=0, volume=5, units=8.0)].volume
+    volume = desk.scheduler.requests[desk.take(tenant=0, volume=5, units=8.0)].volume
     parts = [volume.draw(8.0, START) for _ in range(5)]
     assert parts == ["", "", "FamilyInfo.FairWorth", *["FamilyInfo.BeyondShare"] * 2]
 
 
 def test_part_of_a_reserve_holds_the_largest_job_however_many_gateways_share_it(desk):
-    volume = desk.host.jobs[desk.take(plan=0, volume=5)].volume
+    volume = desk.scheduler.requests[desk.take(tenant=0, volume=5)].volume
     volume.share = 0.001
     volume.refill(START)
     assert volume.draw(8.0, START) == ""
@@ -241,9 +241,9 @@
     firsts = set()
     for seed in range(200):
         desk = make_desk()
-        desk.host = Host(VALUES, seed, START)
-        desk.host.list_came(ListKind.CACHED, entries, START)
-        places = [desk.host._place(held).id for held in self_made(desk, 100)]
+        desk.scheduler = Scheduler(VALUES, seed, START)
+        desk.scheduler.list_received(ListKind.CACHED, entries, START)
+        places = [desk.scheduler._place(pending).id for pending in self_made(desk, 100)]
         assert sorted(places) == [entry.node for entry in entries]
         firsts.add(places[0])
     assert len(firsts) > 50
@@ -251,30 +251,30 @@
 
 def test_a_node_that_left_keeps_nothing_of_its_volumes(desk):
     """Guards against memory that grows with each replaced node: some KiB for every volume it ever served."""
-    node = desk.host.nodes[70]
+    node = desk.scheduler.nodes[70]
     for volume in range(1, 41):
         desk.take(volume=volume)
-        for leg in desk.pull():
-            desk.end(leg, START, took=MS)
+        for attempt in desk.pull():
+            desk.end(attempt, START, took=MS)
     desk.take(volume=99)
     out = desk.pull()[0]
     assert len(node.flows) == 41
-    desk.host.list_came(ListKind.DELTA, [NodeEntry(70, 0, 0, Health.GONE, 0)], START)
-    assert list(node.flows) == [99]  # its leg is still out
+    desk.scheduler.list_received(ListKind.DELTA, [NodeEntry(70, 0, 0, Health.GONE, 0)], START)
+    assert list(node.flows) == [99]  # its attempt is still out
     desk.end(out, START, took=MS)
     assert not node.flows and not node.recent and not node.history
 
 
 def test_a_thousand_nodes_zones_and_volumes_are_held_and_let_go(desk):
-    """Guards against a bound below what a fleet may have: a job for each of 1,024 nodes leaves at once."""
+    """Guards against a bound below what a fleet may have: a request for each of 1,024 nodes leaves at once."""
     entries = [NodeEntry(100 + i, i, i, Health.READY, 0) for i in range(1024)]
-    desk.host.list_came(ListKind.FULL, entries, START)
+    desk.scheduler.list_received(ListKind.FULL, entries, START)
     for i in range(1024):
         desk.take(volume=i, shard=i)
-    legs = desk.pull()
-    assert sorted(leg.node for leg in legs) == [entry.node for entry in entries]
-    desk.host.list_came(ListKind.FULL, [], START)
-    for leg in legs:
-        desk.end(leg, START + 30 * MS)
-    assert desk.pull(START + 30 * MS) == [] and not desk.host.jobs
-    assert not any(node.flows for node in desk.host.nodes.values())
+    attempts = desk.pull()
+    assert sorted(attempt.node for attempt in attempts) == [entry.node for entry in entries]
+    desk.scheduler.list_received(ListKind.FULL, [], START)
+    for attempt in attempts:
+        desk.end(attempt, START + 30 * MS)
+    assert desk.pull(START + 30 * MS) == [] and not desk.scheduler.requests
+    assert not any(node.flows for node in desk.scheduler.nodes.values())
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -110,7 +110,7 @@
     world.request()
     second = world.connect()
     world.gateway.nodes.link_closed(second, [world.gateway.nodes.out[2]], Close.BETWEEN)
-    world.gateway.host.nodes[7].window = 8.0  # a second request has room beside the first
+    world.gateway.scheduler.nodes[7].window = 8.0  # a second request has room beside the first
     world.until_dialled(3)
     world.network.now += 0.5
     busy.line = None
@@ -127,7 +127,7 @@
     wire = world.connect()
     written = world.now()
     world.reset(wire)
-    held = next(iter(world.gateway.host.jobs.values()))
+    held = next(iter(world.gateway.scheduler.requests.values()))
     assert held.ran[0] == written
 
 
@@ -321,13 +321,13 @@
     desk = make_desk()
     rested = START + 20 * SECOND  # the gateway's part is 5 units a second and 20 at most
     patience = 60 * SECOND
-    late = desk.take(rested, plan=1, units=8.0, patience=patience, shard=0)
-    assert [said.job for said in desk.pull(rested)] == [late]
+    late = desk.take(rested, tenant=1, units=8.0, patience=patience, shard=0)
+    assert [said.request_id for said in desk.pull(rested)] == [late]
     after = rested + 10 * SECOND
-    volume = desk.host.volumes[1]
+    volume = desk.scheduler.volumes[1]
     volume.refill(after)
     assert volume.store == pytest.approx(12.0)
-    desk.host.attempt_written(late, after)
+    desk.scheduler.attempt_written(late, after)
     volume.refill(after + SECOND)
     assert volume.store == pytest.approx(17.0)
 
@@ -337,13 +337,13 @@
     """Guards against room that is lost for good with a request that was never written, or was turned away."""
     desk = make_desk(Limits__MaxAttempts="1")
     rested = START + 20 * SECOND
-    desk.take(rested, plan=1, units=8.0)
+    desk.take(rested, tenant=1, units=8.0)
     leg = desk.pull(rested)[0]
     if ending is Ending.FULL:
-        desk.host.attempt_written(leg.job, rested)
+        desk.scheduler.attempt_written(leg.request_id, rested)
     desk.end(leg, rested + MS, ending)
     desk.pull(rested + MS)
-    volume = desk.host.volumes[1]
+    volume = desk.scheduler.volumes[1]
     assert volume.unwritten == 0.0
     volume.refill(rested + 30 * SECOND)
     assert volume.store == pytest.approx(20.0)
--- a/tests/test_recorded_behaviour.py
+++ b/tests/test_recorded_behaviour.py
@@ -15,7 +15,7 @@
 from test_cold_fleet import Day as ColdDay
 from test_service import Shop, read, write
 
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.lab.days import demo
 from ochrecourse.lab.play import VirtualPlay
 from ochrecourse.lab.virtual import VirtualTransport
@@ -26,10 +26,10 @@
 
 
 def plain(value):
-    """A value without the names of its types and fields."""
+    """A value without the names of its types, fields and members."""
     if dataclasses.is_dataclass(value):
         return [plain(getattr(value, each.name)) for each in dataclasses.fields(value)]
-    return plain(value.value) if isinstance(value, enum.Enum) else value
+    return list(type(value)).index(value) if isinstance(value, enum.Enum) else value
 
 
 class Recording:
@@ -50,7 +50,7 @@
 def recorded_host(recording):
     """The decisions, with every reply and every time at which they want to be asked again noted."""
 
-    class RecordedHost(Host):
+    class RecordedHost(Scheduler):
         def decide(self, now):
             reply = super().decide(now)
             recording.note(now, plain(reply))
@@ -129,7 +129,7 @@
     assert BEHAVIOURS[name](monkeypatch) == json.loads(RECORDED.read_text())[name]
 
 
-class LateHost(Host):
+class LateHost(Scheduler):
     """Mistake: the decisions want to be asked again a nanosecond later."""
 
     def next_due(self):
@@ -137,7 +137,7 @@
 
 
 def test_a_change_of_behaviour_is_seen(monkeypatch):
-    monkeypatch.setattr("test_recorded_behaviour.Host", LateHost)
+    monkeypatch.setattr("test_recorded_behaviour.Scheduler", LateHost)
     assert decisions_of_cold_fleets() != json.loads(RECORDED.read_text())["cold fleets"]
 
 
--- a/tests/test_drill.py
+++ b/tests/test_simulator.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ochrecourse.drill import __main__ as drill
-from ochrecourse.drill import frames
-from ochrecourse.interface import Answer, Leg, ListCall, MissingValue, Verdict
+from ochrecourse.simulator import __main__ as simulator
+from ochrecourse.simulator import frames
+from ochrecourse.interface import Outcome, Attempt, ListCall, MissingValue, Reply
 
 
 def batch(*records, count=None):
@@ -20,23 +20,23 @@
 
 
 @pytest.mark.parametrize(
-    ("said", "record"),
+    ("decision", "record"),
     [
-        (Leg(0x5D3A91C4, 0, 0x03124A07, 80_000_000), "0a00035d3a91c403124a074054000000000000"),
-        (Verdict(1, Answer.DENIED, 1_000_000_000), "14000300000001408f400000000000"),
-        (Verdict(1, Answer.WRITTEN_OFF, 0), "1e000300000001"),
+        (Attempt(0x5D3A91C4, 0, 0x03124A07, 80_000_000), "0a00035d3a91c403124a074054000000000000"),
+        (Reply(1, Outcome.REJECTED, 1_000_000_000), "14000300000001408f400000000000"),
+        (Reply(1, Outcome.FAILED, 0), "1e000300000001"),
         (ListCall.FOLLOW, "6e000301"),
     ],
 )
-def test_each_decision_has_its_record(said, record):
-    assert frames.answer(3, said).hex() == record
+def test_each_decision_has_its_record(decision, record):
+    assert frames.answer(3, decision).hex() == record
 
 
 def test_job_is_read_as_the_wire_lays_it_out():
     record = "5d3a91c40000000091f03b7c55d20a6440c0e620000000002b8e6401d9f37c10400000000000000040400000" + "01"
-    job = frames.Batch(bytes.fromhex(record)).job()
-    assert (job.id, job.units, job.shard, job.gateways) == (0x5D3A91C4, 2.0, 0, 3)
-    assert job.client_timeout == 8_652_250_000 and job.volume == 0x2B8E6401D9F37C10
+    request = frames.Batch(bytes.fromhex(record)).request()
+    assert (request.id, request.units, request.shard, request.gateways) == (0x5D3A91C4, 2.0, 0, 3)
+    assert request.client_timeout == 8_652_250_000 and request.volume == 0x2B8E6401D9F37C10
 
 
 @pytest.mark.parametrize(
@@ -51,23 +51,23 @@
 def test_bad_input_is_told_without_a_reply(data, told):
     sink = io.BytesIO()
     with pytest.raises(frames.BadFrame, match=told):
-        drill.serve(io.BytesIO(data), sink)
+        simulator.serve(io.BytesIO(data), sink)
     assert sink.getvalue() == b""
 
 
 def test_missing_setting_ends_the_drill_without_a_reply():
     with pytest.raises(MissingValue, match=r"Classes\.count"):
-        drill.serve(io.BytesIO(batch(start(b"Discovery=push"))), io.BytesIO())
+        simulator.serve(io.BytesIO(batch(start(b"Discovery=push"))), io.BytesIO())
 
 
 def test_unknown_instance_and_end_of_input_are_harmless():
     sink = io.BytesIO()
-    drill.serve(io.BytesIO(batch(b"\x1e\0\3" + bytes(8))), sink)
+    simulator.serve(io.BytesIO(batch(b"\x1e\0\3" + bytes(8))), sink)
     assert sink.getvalue() == frames.REPLY.pack(1, 0, 0)
 
 
 def test_failure_inside_the_decisions_is_declared(monkeypatch):
-    monkeypatch.setattr(drill.Host, "decide", lambda host, now: 1 // 0)
+    monkeypatch.setattr(simulator.Scheduler, "decide", lambda scheduler, now: 1 // 0)
     sink = io.BytesIO()
-    drill.serve(io.BytesIO(batch(start(b"Classes.count=0"))), sink)
+    simulator.serve(io.BytesIO(batch(start(b"Classes.count=0"))), sink)
     assert b"ZeroDivisionError" in sink.getvalue() and sink.getvalue()[12] == 100
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -13,9 +13,10 @@
 from conftest import NODES, START, VALUES
 from test_service import FLAT, PING, Shop, listed, read
 
-from ochrecourse.decide import Host
+from ochrecourse.decide import Scheduler
 from ochrecourse.gateway.gateway import Gateway, Request
-from ochrecourse.interface import Ending, Health, Job, LegEnd, ListKind, NodeEntry
+from ochrecourse.interface import AttemptEnd, Ending, Health, ListKind, NodeEntry
+from ochrecourse.interface import Request as SchedulerRequest
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.nodes.carrier import Carrier
 from ochrecourse.nodes.pool import PoolLimits
@@ -172,16 +173,16 @@
     assert {line.node for line in street.given_up} == {7, 8, 9} and not street.carrier.dials
 
 
-class Clerk(Host):
+class Clerk(Scheduler):
     """A host that keeps what it was told of legs."""
 
     def __init__(self, *words):
         super().__init__(*words)
         self.ends = []
 
-    def leg_ended(self, end, now):
+    def attempt_ended(self, end, now):
         self.ends.append(end)
-        super().leg_ended(end, now)
+        super().attempt_ended(end, now)
 
 
 class Nobody:
@@ -206,7 +207,7 @@
         )  # fmt: skip
         entry = NodeEntry(7, 0, 0, Health.READY, 0)
         self.gateway.list_came(ListKind.FULL, [entry], {7: ("h", 1)})
-        self.host = self.gateway.host
+        self.scheduler = self.gateway.scheduler
         self.asker = Nobody()
 
     def take(self):
@@ -220,8 +221,8 @@
         return wire
 
     def teaching(self):
-        node = self.host.nodes[7]
-        return node.drag, node.good, node.window, node.quick, self.host.lost, self.host.drag
+        node = self.scheduler.nodes[7]
+        return node.drag, node.good, node.window, node.quick, self.scheduler.lost, self.scheduler.drag
 
 
 def test_a_late_connection_tells_nothing_of_the_work_at_its_node():
@@ -234,7 +235,7 @@
     leg = next(iter(branch.gateway.nodes.out.values()))
     branch.gateway.nodes.answered(wire, leg, m.Done(id=0, size=0, body=0), b"", True)
     assert branch.asker.answers == ["fulfilled"]
-    assert branch.host.ends[0].took == pytest.approx(20 * MS, abs=MS)
+    assert branch.scheduler.ends[0].took == pytest.approx(20 * MS, abs=MS)
 
 
 @pytest.mark.parametrize(("holders", "ends"), [(1, []), (2, [Ending.UNREACHABLE])])
@@ -245,7 +246,7 @@
     branch.gateway.list_came(ListKind.FULL, entries, {entry.node: ("h", 1) for entry in entries})
     branch.take()
     branch.network.advance(0.27)  # the settings give a dial 250 ms, the job is promised 300 ms
-    assert [end.ending for end in branch.host.ends] == ends
+    assert [end.ending for end in branch.scheduler.ends] == ends
 
 
 @pytest.mark.parametrize("kind", [ListKind.DELTA, ListKind.FULL])
@@ -258,7 +259,7 @@
     branch.network.advance(0.1)
     left = [NodeEntry(7, 0, 0, health, 0)] if kind is ListKind.DELTA or health is Health.DRAINING else []
     branch.gateway.list_came(kind, [*left, NodeEntry(8, 0, 0, Health.READY, 0)], {8: ("h", 2)})
-    assert [end.ending for end in branch.host.ends] == [Ending.MOOT] and branch.teaching() == before
+    assert [end.ending for end in branch.scheduler.ends] == [Ending.MOOT] and branch.teaching() == before
     late = branch.dialled[0]
     assert branch.came(late).sent == []
     branch.network.advance(0.1)
@@ -271,20 +272,20 @@
     branch = Branch()
     before = branch.teaching()
     branch.gateway.leave(branch.take())
-    assert branch.host.ends[0].ending is Ending.MOOT and not branch.gateway.nodes.out
-    assert branch.teaching() == before and not branch.host.jobs
+    assert branch.scheduler.ends[0].ending is Ending.MOOT and not branch.gateway.nodes.out
+    assert branch.teaching() == before and not branch.scheduler.requests
     assert branch.came(branch.dialled[0]).sent == []
 
 
 @pytest.mark.parametrize("ending", [Ending.WITHDRAWN, Ending.MOOT])
 def test_a_leg_that_this_side_ended_teaches_nothing_of_its_node(ending):
-    host = Host(VALUES, 7, START)
-    host.list_came(ListKind.CACHED, NODES, START)
-    host.job_came(Job(1, 0, 0, 1, 0, 2.0, 0, 2, START + SECOND), START)
+    host = Scheduler(VALUES, 7, START)
+    host.list_received(ListKind.CACHED, NODES, START)
+    host.request_received(SchedulerRequest(1, 0, 0, 1, 0, 2.0, 0, 2, START + SECOND), START)
     leg = host.decide(START)
     node = host.nodes[leg.node]
     before = (node.good, node.drag, node.window, node.heard)
-    host.leg_ended(LegEnd(1, 0, leg.node, ending, 5 * MS, True, -1.0, 0, {}), START + 5 * MS)
+    host.attempt_ended(AttemptEnd(1, 0, leg.node, ending, 5 * MS, True, -1.0, 0, {}), START + 5 * MS)
     assert (node.good, node.drag, node.window, node.heard) == before and not node.out
 
 
@@ -433,4 +434,4 @@
     front, gateway = shop.service.front, shop.service.gateway
     assert not front.fronts and not front.open_ids and not gateway.ledger.open
     shop.run(5.0)
-    assert not gateway.ledger.jobs and not gateway.nodes.out and not gateway.host.jobs
+    assert not gateway.ledger.jobs and not gateway.nodes.out and not gateway.scheduler.requests
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -31,7 +31,7 @@
     sure = {Ending.UNREACHABLE, Ending.FULL, Ending.MOOT}
     for seen, proof in PROVES.items():
         assert (proof.ending in sure) == (proof.ran is Ran.NO), seen
-        assert (proof.ending is Ending.FULFILLED) == (seen is Seen.DONE)
+        assert (proof.ending is Ending.SERVED) == (seen is Seen.DONE)
 
 
 @pytest.mark.parametrize(
@@ -151,7 +151,7 @@
     assert reach.reached([71], 9 * SECOND) == 1  # one leg may be a heavy job
     reach.sent(71, 2 * SECOND)
     assert reach.reached([71], SECOND + 500 * MS) == 1 and reach.reached([71], 2 * SECOND) == 0
-    reach.ended(71, Ending.FULFILLED)
+    reach.ended(71, Ending.SERVED)
     assert reach.reached([71], 2 * SECOND) == 1
 
 
@@ -419,9 +419,9 @@
     legs = [each for each in desk.pull() if hasattr(each, "node")]
     assert 0 < len(legs) < 12
     for leg in legs:
-        desk.host.stream_began(leg.job)
+        desk.scheduler.stream_began(leg.request_id)
     more = [each for each in desk.pull(START + MS) if hasattr(each, "node")]
-    assert more and {each.job for each in more} <= set(jobs) - {leg.job for leg in legs}
+    assert more and {each.request_id for each in more} <= set(jobs) - {leg.request_id for leg in legs}
     for leg in legs:
         desk.end(leg, START + 500 * MS)
-    assert desk.host.nodes[legs[0].node].out >= 0
+    assert desk.scheduler.nodes[legs[0].node].out >= 0
--- a/tests/transcripts/test_transcripts.py
+++ b/tests/transcripts/test_transcripts.py
@@ -662,7 +662,7 @@
         control_answer(SimpleNamespace(part=fleet.parts["a"]), json.dumps({"do": "zone", "zone": 0, "standing": word}).encode())
         fleet.run(1)
     for _ in range(40):
-        fleet.parts["b"].zones.leg_over(70, Ending.FULFILLED, 30 * MS, 0.0, round(fleet.network.seconds() * SECOND), 8.0)
+        fleet.parts["b"].zones.leg_over(70, Ending.SERVED, 30 * MS, 0.0, round(fleet.network.seconds() * SECOND), 8.0)
         fleet.run(0.1)
     for name, part in fleet.parts.items():
         rate = part.zones.bounds(round(fleet.network.seconds() * SECOND))[70]
--- a/tests/zone_world.py
+++ b/tests/zone_world.py
@@ -184,7 +184,7 @@
                     gate.free_at[node] = self.now + int(SECOND / rate)
         for node in chosen:
             took = int(20 * MS * (0.5 + self.chance.random()) * self.slow.get(node, 1))
-            ending, units = Ending.FULFILLED, self.sizes.choice(self.units)
+            ending, units = Ending.SERVED, self.sizes.choice(self.units)
             if (gate.name, node) in self.blind:
                 ending, took = Ending.TIMEOUT, 250 * MS
             elif node in self.lost:
