A return waits until cold nodes are warm; the first check of cold nodes is back

Excluded: legs that were under way at the start (at most 2 units in the first second), gateways that were not told, parts in use twice (the world's own check of bounds held).

A return at its full pace is over when the nodes that were ready and cold as that pace began are warm by the list. Nodes that start later do not hold it up, or a zone whose nodes restart one by one would never be in.

--- a/ochrecourse/fleet/zones.py
+++ b/ochrecourse/fleet/zones.py
@@ -65,6 +65,7 @@
     """What has lasted at one zone since its last decision, in ns; and when that came."""
 
     came: int = 0
+    warm: int = 0  # when the nodes that were ready and cold as it came are warm
     suspect: int = 0
     silent: int = 0
     sole: int = 0
@@ -183,7 +184,7 @@
         elif (zone := self.standings.event(entry)) is not None:
             self.bounded = None
             before, came = self.since.get(zone, _Since()), max(now, self.looked, 0)
-            self.since[zone] = _Since(came=came, said=before.said)
+            self.since[zone] = _Since(came=came, warm=self._warm_at(zone), said=before.said)
             if self.standings.of(zone).standing is Standing.DOUBT:
                 self.since[zone].silent, self.since[zone].sole = before.silent, before.sole
                 self.since[zone].hollow = before.hollow
@@ -241,7 +242,10 @@
             # Guards against a side that was cut off and is believed when it is back: what it failed at and
             # what was due to be said are its own failure, not that of the zones that it could not reach.
             self.own.drop(list(self.own.nodes))
-            self.since = {zone: _Since(came=each.came, said=each.said) for zone, each in self.since.items()}
+            self.since = {
+                zone: _Since(came=each.came, warm=each.warm, said=each.said)
+                for zone, each in self.since.items()
+            }
             self.met = now
         if self.looked >= 0 and now - self.looked < LOOK:
             return
@@ -358,9 +362,18 @@
                 return Standing.RETURNING
             held_for = self.figure["hold"] if held.part >= 1 else self.figure["step"]
             if since.well >= held_for or since.untried >= 2 * held_for:
-                return Standing.RETURNING if held.part < 1 else Standing.IN
+                if held.part < 1:
+                    return Standing.RETURNING
+                # Guards against bounds that end while nodes are cold: each gateway's own limit, which grows
+                # with what is answered there, is then all that holds the sum. Nodes that start only during
+                # the full pace do not hold it up.
+                return Standing.IN if now >= since.warm else None
         return None
 
+    def _warm_at(self, zone: int) -> int:
+        """When the last of its ready nodes that are cold is warm, by the list; 0 if none was ever cold."""
+        return max((self.nodes[node][3] for node in self.ready.get(zone, ())), default=0)
+
     def _lasts(self, view: View) -> float:
         return self.figure["lasts"] if 4 * view.hard >= 3 * view.dead else self.figure["silence"]
 
--- a/ochrecourse/lab/worse_capacity.py
+++ b/ochrecourse/lab/worse_capacity.py
@@ -12,8 +12,8 @@
 from ochrecourse.audit import capacity as seen
 from ochrecourse.audit import records as r
 from ochrecourse.audit.judge import Finding
-from ochrecourse.audit.together import cold_sums
-from ochrecourse.lab.day import Day, Trouble
+from ochrecourse.audit.together import cold_kept, cold_sums
+from ochrecourse.lab.day import Day, Trouble, cold_units
 from ochrecourse.outside import MS, SECOND
 
 SOLE, SHARED = 3, 3  # shards that south alone holds, and that north and west both hold
@@ -53,7 +53,8 @@
     fall = round(day.rules.fall_ms * MS)
     told = seen.advice(records, at(FIRST[0]), at(LENGTH))
     sums = cold_sums(records, fall)
-    # Bounds end with a return, when nodes may still be cold: then each gateway's own limit is all there is.
+    # What the rule lets the slowest node bear as it comes up, and one job that is under way as it ends.
+    most = 2 * cold_units(day) + day.most_units
     borne = Finding("no cold node gets half of what pushes it over", tested=sums.legs)
     if sums.times > day.rules.multiple / 2:
         borne.breach(begun, f"{sums.times:.2f} times what it can do; {day.rules.multiple:g} push it over")
@@ -61,6 +62,7 @@
         seen.denied_at_once(records, 1, start, end, probes),
         seen.still_tried(records, 1, at(FIRST[1]), round(BACK * SECOND)),
         seen.never_fell(records),
+        cold_kept(records, fall, most),
         borne,
     ]
     figures = {
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -213,6 +213,37 @@
     assert world.said[0][0] - began < most * SECOND
 
 
+def said_at(world, standing, part):
+    """When a decision was first said, in s; 0 if it was not."""
+    told = (at for at, _, body, _ in world.said if (body.get("standing"), body.get("part")) == (standing, part))
+    return next(told, 0) / SECOND
+
+
+def test_a_return_does_not_end_while_nodes_of_the_zone_are_cold():
+    world = World(1).run(3)
+    world.lose(1)
+    world.run(5)
+    world.regain(1, cold=20 * SECOND)
+    warm = max(world.cold_until.values()) / SECOND
+    world.run(24)
+    assert 0 <= said_at(world, "in", 1.0) - warm <= 1
+
+
+def test_nodes_that_start_once_a_return_is_at_its_full_pace_do_not_hold_it_up():
+    world = World(1).run(3)
+    world.lose(1)
+    world.run(5)
+    world.regain(1, cold=20 * SECOND)
+    warm = max(world.cold_until.values()) / SECOND
+    while not said_at(world, "returning", 1.0):
+        world.step()
+    world.run(1)
+    world.cold_until[100] = world.now + 40 * SECOND
+    world.listed()
+    world.run(30)
+    assert 0 <= said_at(world, "in", 1.0) - warm <= 1
+
+
 def test_a_zone_that_nobody_has_work_for_is_tried_again_after_its_rest():
     world = World(2).run(3)
     world.lose(1)
