--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -6,9 +6,12 @@
 
 from ochrecourse.audit import capacity as seen
 from ochrecourse.audit import records as r
+from ochrecourse.fleet.zones import Zones
+from ochrecourse.lab import mistakes
 from ochrecourse.lab.day import BadDay, check
 from ochrecourse.lab.fleet_play import Fault, FleetPlay, World, day_of, judge
 from ochrecourse.lab.fleet_told import ToldPlay, figures
+from ochrecourse.lab.worse_capacity_play import CapacityPlay, judged
 from ochrecourse.outside import SECOND
 
 S = SECOND
@@ -56,6 +59,63 @@
     assert served.tested == 6 and not served.breaches, served.breaches
 
 
+# --- the day `capacity`, on the virtual clock ---
+
+
+def day_played(seed):
+    play = CapacityPlay(seed)
+    play.run()
+    return play, judged(play)
+
+
+# Seeds 5, 7 and 8 broke the sum at a cold node (62 units of 61.9, 102 of 63.8, 83 of 60.3) while returns ended sooner.
+@pytest.mark.long
+@pytest.mark.parametrize("seed", [1, 5, 7, 8])
+def test_the_day_keeps_all_that_it_asks(seed):
+    play, told = day_played(seed)
+    assert told.broken() == []
+    assert play.load.outcomes.endings["fulfilled"] > 500
+    beyond = told.findings[7:]
+    assert len(beyond) == 6 and all(each.tested for each in beyond)
+
+
+def test_each_run_of_the_day_has_the_same_records():
+    (play, told), (again, told_again) = day_played(1), day_played(1)
+    assert play.records == again.records and play.held == again.held
+    assert told.figures == told_again.figures
+
+
+def some_ignore_bounds(patch):
+    bounds = Zones.bounds
+    patch(Zones, "bounds", lambda self, now: {} if self.name in ("g0", "g3") else bounds(self, now))
+
+
+def all_ignore_bounds(patch):
+    patch(Zones, "bounds", lambda self, now: {})
+
+
+def returns_end_while_nodes_are_cold(patch):
+    patch(Zones, "_warm_at", lambda self, zone: 0)
+
+
+AT_ONCE, SUM = "what only a lost zone holds is denied at once", "the sum at each cold node within the limit"
+
+
+@pytest.mark.parametrize(
+    "seed, mistake, shown",
+    [
+        (1, some_ignore_bounds, [AT_ONCE]),
+        (1, all_ignore_bounds, [AT_ONCE, SUM]),
+        (1, mistakes.is_not_divided, [AT_ONCE, SUM]),
+        (7, returns_end_while_nodes_are_cold, [SUM]),
+    ],
+)
+def test_the_day_shows_mistakes(seed, mistake, shown, monkeypatch):
+    mistake(monkeypatch.setattr)
+    _, told = day_played(seed)
+    assert [each.rule for each in told.findings if each.breaches] == shown
+
+
 # --- told the truth ---
 
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -22,6 +22,8 @@
 
 
 LONG = 240  # s that a day may take at the most on a loaded host; nothing is judged by it
+# Judged by 50 ms of a clock: test_fleet_capacity plays it on the virtual one, by the same judges and by more.
+VIRTUAL = ("capacity",)
 
 
 class Ear(Protocol):
@@ -337,7 +339,7 @@
 
 
 @pytest.mark.real_time
-@pytest.mark.parametrize("name", [name for name in MADE if name not in WORSE])
+@pytest.mark.parametrize("name", [name for name in MADE if name not in (*WORSE, *VIRTUAL)])
 def test_a_day_of_a_fleet_keeps_all_that_it_asks(name, tmp_path):
     command = [sys.executable, "-m", "ochrecourse", "day", "run", name, "--json", "--keep", tmp_path]
     ran = subprocess.run(command, capture_output=True, text=True, timeout=LONG)
--- a/tests/test_together_worse.py
+++ b/tests/test_together_worse.py
@@ -15,7 +15,6 @@
 from ochrecourse.audit import worse_timing as timing
 
 LONG = 240  # s that a day may take at the most on a loaded host; nothing is judged by it
-# Day `capacity` counts denials that took 50 ms: no verdict for a loaded host. test_fleet_capacity plays it on one clock.
 WORSE = ("long-absence", "two-closes", "all-at-once", "rolling-upgrade", "grey")
 S = 1_000_000_000
 
