Property test over drawn interleavings of node connections, with twelve mistakes found

Cause: connections to storage nodes had example-based tests alone; clients have a state machine. Crossings that nobody wrote down were not played: an end, an answer, a request and a late connection in the same turn of the loop. Change: tests/test_node_machine.py. Two to four RESP nodes behind one gateway on the virtual network, whose ways take one or two ticks of a grid, so that things arrive in the same moment. Rules: connections up to 1.5 s late, refused or never; answers now, late, in pieces, twice, spoilt, half, endless; ends before, during and after requests, also in the moment of a request; nodes that drain, go, come back and are replaced; clients that leave; the order to leave. Judged from outside: nothing is written to a connection that ends; each served value was made for the last attempt of that very request; keyed repeats begin within the window of the first attempt that may have run, unsafe ones never; the time told fits what is left; one answer each in time; none begins 0.1 s after its client left or at a node that is not listed; "-BUSY" to a write only if nothing may have run; no connection is kept that nobody uses; the order to leave ends in time.

--- /dev/null
+++ b/tests/test_node_machine.py
@@ -0,0 +1,786 @@
+"""Storage nodes and connections to them that do whatever they do, as a state machine on the virtual network with TCP's
+ends, and an oracle that sees only what nodes and clients see, and what is written to a connection when its end is known.
+
+Ways take one or two ticks of a common grid, so that what crosses on a machine within one turn of the loop does so here:
+an end, an answer, a request and a connection that comes up often arrive in the very same moment.
+"""
+
+import json
+from collections import Counter, deque
+
+import pytest
+from hypothesis import Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from test_service import FLAT
+from twisted.internet.error import ConnectionRefusedError, TimeoutError, UserError
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from ochrecourse.gateway import gateway
+from ochrecourse.lab.virtual import VirtualNetwork, VirtualTransport
+from ochrecourse.nodes import carrier, proof
+from ochrecourse.nodes.carrier import Carrier
+from ochrecourse.relay.service import Service
+from ochrecourse.relay.start import parse
+from ochrecourse.resp import codec, line, words
+from ochrecourse.resp.line import RespLine
+from ochrecourse.standins.respnode import VALUE, ListAgent, RespNode, RespPeer
+
+TICK = 2.0**-12  # s; a way takes one or two, so that nothing is rounded and things meet
+WAY = 2 * TICK  # s that anything takes from one end of a connection to the other at most
+WINDOW = 0.4  # s from the first attempt that may have run in which a keyed request may be repeated
+BREAK = 0.1  # s after a client's end from which on an attempt is a break
+LISTED = 0.01  # s after which a change of the list is known
+LAST = 8.0  # s in which all that is open comes to its end
+IDLE = 11.0  # s after which a connection without a request has been closed
+KILL = 2.7  # s after the order to leave: the longest client timeout and the platform's 0.7 s
+KINDS = {"read": b"BLK.READ", "mark": b"BLK.WRITE", "bind": b"BLK.WRITE"}  # safe, keyed, unsafe
+BUSY = b"-BUSY\r\n"
+BUSYISH = [b"-BUSYISH\r\n", b"-BUSY \xff\r\n"]
+BROKEN = [
+    b"\x00\xffnoise\r\n", b"*3\r\n$2\r\nlonger\r\n$-1\r\n$-1\r\n", b"*9\r\n",
+    b"+OK\r\n", b"$4\r\nbare\r\n",
+]  # fmt: skip
+SEEDS = range(1, 5)  # of the examples, which are the same each time
+SETTINGS = {
+    **FLAT, "Classes.0.Aim": "900", "Classes.1.Aim": "900", "Classes.2.Aim": "900", "Classes.1.Window": "400",
+    "Classes.0.Deadline": "2000", "Classes.1.Deadline": "2000", "Classes.2.Deadline": "2000",
+    "Policies.0.Rate": "400", "Policies.0.Reserve": "4000",
+}  # fmt: skip
+
+# What was drawn, over all examples: a machine that never comes to a crossing proves nothing of it.
+SEEN = Counter()
+DROPPED = []  # what was written to a connection of a node after this side had ended it or had read its end
+SHUTS = {}  # when the gateway ended a connection
+
+
+class Dial:
+    """A dial that is under way, as Twisted's connector gives it up."""
+
+    def __init__(self, call, factory):
+        self.call, self.factory = call, factory
+
+    def disconnect(self):
+        if self.call.active():
+            self.call.cancel()
+            self.factory.clientConnectionFailed(None, Failure(UserError()))
+
+
+class Late(VirtualNetwork):
+    """A network on which connections to a port come up as late as `dials` says (None: never; "refused")."""
+
+    def __init__(self, seed, gives_up):
+        super().__init__(seed)
+        self.gives_up = gives_up
+        self.tcp = True
+        self.dials = {}  # by port: how late the next ones are, the last of them for all that follow
+
+    def delay(self):
+        grid = (self.now // TICK + 1 + self.chance.randrange(2)) * TICK
+        return grid - self.now
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        late = self.dials.get(port)
+        if not late:
+            super().connectTCP(host, port, factory, timeout)
+            return None
+        each = late.popleft() if len(late) > 1 else late[0]
+        if each is None:
+            call = self.callLater(timeout, factory.clientConnectionFailed, None, Failure(TimeoutError()))
+        elif each == "refused":
+            failure = Failure(ConnectionRefusedError())
+            call = self.callLater(self.delay(), factory.clientConnectionFailed, None, failure)
+        else:
+            if each:
+                SEEN["late dials"] += 1
+            call = self.callLater(each + self.delay(), self._connect, None, host, port, factory, timeout)
+        return Dial(call, factory) if self.gives_up else None
+
+
+class Attempt:
+    """A request that came whole to a node."""
+
+    def __init__(self, number, asked, peer, now):
+        self.name = asked[2]
+        self.at = now
+        self.told = int(asked[3].split(b",d=")[1].split(b",")[0]) / 1000
+        self.peer = peer
+        self.value = VALUE + asked[2] + b"/%d" % number  # made for this attempt alone
+        self.open = True  # the node has not answered
+        self.hangs = False  # until a rule lets the node answer
+        self.busy = False  # the node said that it did not run it
+
+    def served(self):
+        return b"*3\r\n" + codec.bulk(self.value) + b"$-1\r\n$-1\r\n"
+
+
+class NodePeer(RespPeer):
+    """A node's end of a connection."""
+
+    def __init__(self, node):
+        super().__init__(node)
+        self.attempt = None
+        self.up = False
+
+    def connectionMade(self):
+        super().connectionMade()
+        self.up = True
+
+    def connectionLost(self, reason=None):
+        super().connectionLost(reason)
+        self.up = False
+
+    def dataReceived(self, data):
+        shut = SHUTS.get(self.transport.peer)
+        now = self.node.world.network.now
+        assert shut is None or now <= shut + WAY, "bytes on a connection that the gateway had ended"
+        self.rest += data
+        while (asked := self._command()) is not None:
+            self.node.came(self, asked)
+        assert not self.rest, "a part of a request"
+
+    def rests(self):
+        return self.up and (self.attempt is None or not self.attempt.open)
+
+
+class Node(RespNode):
+    """A storage node. `mode` is what it does with requests, unless `World.next` says what becomes of the next ones."""
+
+    def __init__(self, world, number):
+        super().__init__()
+        self.world = world
+        self.network = world.network
+        self.port = self.network.listenTCP(0, self).getHost().port
+        self.cell = number % world.cells
+        self.name, self.lives = f"s-{number}", 0
+        self.state, self.left_at = "Ready", None
+        self.mode = ("now", 0.0)
+
+    def buildProtocol(self, addr):
+        return NodePeer(self)
+
+    def entry(self, name=None, state=None):
+        return {
+            "instanceId": name or self.name, "hostPort": f"127.0.0.1:{self.port}", "zone": "a", "cell": self.cell,
+            "lifecycle": state or self.state, "startedAtMs": 0,
+        }  # fmt: skip
+
+    def came(self, peer, asked):
+        attempt = peer.attempt = Attempt(len(self.world.attempts), asked, peer, self.network.now)
+        self.world.attempts.append(attempt)
+        if self.left_at is not None:
+            assert self.network.now <= self.left_at + LISTED, "sent to a node that was not listed as ready"
+        mode, gap = self.world.next.popleft() if self.world.next else self.mode
+        SEEN[mode] += 1
+        getattr(self, mode)(attempt, gap)
+
+    def say(self, attempt, data, last=True):
+        if last:
+            attempt.open = False
+        attempt.peer.transport.write(data)
+
+    def later(self, gap, *what):
+        self.network.callLater(gap, *what)
+
+    # --- what it does with a request ---
+
+    def now(self, attempt, gap):
+        self.say(attempt, attempt.served())
+
+    def late(self, attempt, gap):
+        self.later(0.03 + 40 * gap, self.say, attempt, attempt.served())
+
+    def pieces(self, attempt, gap):
+        whole = attempt.served()
+        self.say(attempt, whole[:1], False)
+        self.later(gap, self.say, attempt, whole[1:-4], False)
+        self.later(3 * gap, self.say, attempt, whole[-4:])
+
+    def twice(self, attempt, gap):
+        self.say(attempt, attempt.served())
+        self.later(gap, attempt.peer.transport.write, attempt.served())
+
+    def joined(self, attempt, gap):
+        self.say(attempt, attempt.served() * 2)
+
+    def broken(self, attempt, gap):
+        self.say(attempt, BROKEN[len(self.world.attempts) % len(BROKEN)])
+
+    def busyish(self, attempt, gap):
+        self.say(attempt, BUSYISH[len(self.world.attempts) % len(BUSYISH)])
+
+    def half_and_reset(self, attempt, gap):
+        self.say(attempt, attempt.served()[:-9], False)
+        self.later(gap, attempt.peer.transport.abortConnection)
+
+    def half_and_close(self, attempt, gap):
+        self.say(attempt, attempt.served()[:-9], False)
+        self.later(gap, attempt.peer.transport.loseConnection)
+
+    def endless(self, attempt, gap):
+        self.say(attempt, b"*3\r\n$1000000\r\n", False)
+        self.drip(attempt)
+
+    def drip(self, attempt):
+        if attempt.peer.up:
+            self.say(attempt, b"x" * 50, False)
+            self.later(0.05, self.drip, attempt)
+
+    def hangs(self, attempt, gap):
+        attempt.hangs = True
+
+    def resets(self, attempt, gap):
+        self.later(gap, attempt.peer.transport.abortConnection)
+
+    def closes(self, attempt, gap):
+        self.later(gap, attempt.peer.transport.loseConnection)
+
+    def answers_and_closes(self, attempt, gap):
+        self.say(attempt, attempt.served())
+        self.later(gap, attempt.peer.transport.loseConnection)
+
+    def busy(self, attempt, gap):
+        attempt.busy = True
+        self.say(attempt, BUSY)
+
+    def fails(self, attempt, gap):
+        self.say(attempt, b"-ERR failed\r\n")
+
+
+MODES = [
+    "now", "late", "pieces", "twice", "joined", "broken", "busyish", "half_and_reset", "half_and_close", "endless", "hangs",
+    "resets", "closes", "answers_and_closes", "busy", "fails",
+]  # fmt: skip
+GAPS = [0.0, 0.001, 0.004, 0.008]  # s; a second answer comes no later than that
+
+
+class Request:
+    """What a client sent."""
+
+    def __init__(self, name, kind, at, patience):
+        self.name, self.kind, self.at = name, kind, at
+        self.due = at + patience
+
+
+class Client:
+    """A client: what it sent, what it got and when, how it and its connection ended."""
+
+    def __init__(self, world, patience):
+        client = self
+        self.network = world.network
+        self.patience = patience  # s
+        self.transport = self.side = None
+        self.sent, self.got = [], []  # requests; replies and when they came, in order
+        self.replies = codec.Replies()
+        self.left_at = None
+        self.lost = False
+
+        class End(Protocol):
+            def connectionMade(self):
+                client.transport, client.side = self.transport, self.transport.peer
+
+            def dataReceived(self, data):
+                client.replies.feed(data)
+                while (one := client.replies.next()) is not None:
+                    client.got.append((one[0], client.network.now))
+
+            def connectionLost(self, reason=None):
+                client.lost = True
+
+        self.network.connectTCP("127.0.0.1", world.port, ClientFactory.forProtocol(End))
+        self.network.advance(2 * WAY)
+
+    @property
+    def here(self):
+        return self.transport is not None and self.left_at is None and not self.lost
+
+    @property
+    def shut_at(self):
+        return SHUTS.get(self.side)
+
+    def leave(self, how):
+        getattr(self.transport, how)()
+        self.left_at = self.network.now
+
+
+class World:
+    """A gateway in service, its nodes and its list agent."""
+
+    def __init__(self, nodes, cells, gives_up):
+        self.cells = cells
+        self.network = Late(3, gives_up)
+        self.attempts = []
+        self.next = deque()  # what nodes do with the next attempts, whichever node they come to
+        self.nodes = [Node(self, number) for number in range(nodes)]
+        self.agent, self.version = ListAgent(), 5
+        self.list_kept()
+        agent_port = self.network.listenTCP(0, self.agent).getHost().port
+        self.over = []
+        told = {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{agent_port}", "seed": "0f",
+            "limits": {"sockets": 256}, "settings": SETTINGS, "known": {**self.agent.first, "reset": False},
+        }  # fmt: skip
+        self.service = Service(
+            parse(told), "none", self.network, 10**18, lambda text: None, lambda: self.over.append(1)
+        )
+        self.port = self.service.serve()[1]
+        self.beat()
+        self.network.advance(0.05)
+
+    def beat(self):
+        for watch in self.agent.watches:
+            watch.say(b"\n")
+        self.network.callLater(2.0, self.beat)
+
+    def list_kept(self):
+        listed = [node.entry() for node in self.nodes if node.state != "Gone"]
+        self.agent.first = {"generation": self.version, "reset": True, "instances": listed}
+
+    def list_changes(self, entries):
+        self.version += 1
+        self.list_kept()
+        told = {"generation": self.version, "reset": False, "instances": entries}
+        for watch in self.agent.watches:
+            watch.say(json.dumps(told).encode() + b"\n")
+
+
+class Nodes(RuleBasedStateMachine):
+    """Rules are what nodes, their connections, the list and clients may do; the invariants and `teardown` judge."""
+
+    @initialize(nodes=st.integers(2, 4), cells=st.integers(1, 3), gives_up=st.booleans())
+    def start(self, nodes, cells, gives_up):
+        """`gives_up`: dials that are given up end; else their connections may come up all the same."""
+        DROPPED.clear()
+        SHUTS.clear()
+        self.world = World(nodes, cells, gives_up)
+        self.network = self.world.network
+        self.nodes = self.world.nodes
+        self.clients = []
+        self.requests = {}
+        self.number = 0
+        self.left_at = None
+
+    def chosen(self, which):
+        """One node, or all of them."""
+        return [self.nodes[which]] if which < len(self.nodes) else self.nodes
+
+    def connects(self, patience):
+        client = Client(self.world, patience)
+        if client.transport is not None:
+            self.clients.append(client)
+        return client
+
+    def send(self, client, kind, cell, count=1):
+        """New requests of one client in one write; `cell` -1: any node may serve them."""
+        if not client.here:
+            return
+        data = b""
+        for _ in range(count):
+            self.number += 1
+            name = b"%016x" % self.number
+            made = self.requests[name] = Request(name, kind, self.network.now, client.patience)
+            client.sent.append(made)
+            fields = b"c=%b,t=p0,d=%d" % (kind.encode(), round(client.patience * 1000))
+            key = b"" if kind == "read" else b",k=" + name
+            rest = b",volume=00000003b4d60021,units=1,shard=%d,hosts=3" % min(cell, self.world.cells - 1)
+            value = [] if kind == "read" else [b"new"]
+            piece = b"%016x" % (self.number + 7)
+            data += codec.command([KINDS[kind], piece, name, fields + key + rest, *value])
+        client.transport.write(data)
+
+    # --- clients ---
+
+    @rule(
+        kind=st.sampled_from(list(KINDS)), cell=st.integers(-1, 2), count=st.integers(1, 3),
+        patience=st.sampled_from([0.15, 0.9, 2.0]), which=st.none() | st.integers(0, 3),
+        ends=st.lists(st.tuples(st.sampled_from(MODES), st.sampled_from(GAPS)), max_size=3),
+    )  # fmt: skip
+    def asks(self, kind, cell, count, patience, which, ends):
+        """A new client, or one that is here; `ends`: what becomes of the next attempts."""
+        if ends:
+            self.world.next = deque(ends)
+        here = [client for client in self.clients if client.here]
+        client = self.connects(patience) if which is None or not here else here[which % len(here)]
+        self.send(client, kind, cell, count)
+
+    @rule(
+        which=st.integers(0, 7),
+        how=st.sampled_from(["loseConnection", "loseWriteConnection", "abortConnection"]),
+    )
+    def client_leaves(self, which, how):
+        here = [client for client in self.clients if client.here]
+        if here:
+            here[which % len(here)].leave(how)
+
+    @rule(
+        kind=st.sampled_from(list(KINDS)), cell=st.integers(-1, 2), late=st.sampled_from([0.2, 0.7]),
+        after=st.sampled_from([TICK, 0.03, 0.1]),
+    )  # fmt: skip
+    def client_leaves_while_its_request_waits_for_a_connection(self, kind, cell, late, after):
+        self.nodes_end_connections(9, "abortConnection", "all")
+        self.network.advance(WAY)
+        for node in self.nodes:
+            self.network.dials[node.port] = deque([late])
+        client = self.connects(2.0)
+        self.send(client, kind, cell)
+        self.network.advance(after)
+        if client.here:
+            client.leave("loseConnection")
+
+    # --- nodes ---
+
+    @rule(which=st.integers(0, 5), mode=st.sampled_from(MODES), gap=st.sampled_from(GAPS))
+    def nodes_become(self, which, mode, gap):
+        for node in self.chosen(which):
+            node.mode = (mode, gap)
+
+    @rule(
+        which=st.integers(0, 5),
+        how=st.sampled_from(["now", "twice", "busy", "fails", "broken", "half_and_close"]),
+    )
+    def nodes_answer_what_hangs(self, which, how):
+        for node in self.chosen(which):
+            for peer in list(node.peers):
+                if not peer.rests() and peer.attempt.hangs:
+                    peer.attempt.hangs = False
+                    getattr(node, how)(peer.attempt, 0.004)
+
+    @rule(
+        which=st.integers(0, 5), how=st.sampled_from(["loseConnection", "abortConnection"]),
+        of=st.sampled_from(["rests", "asked", "all"]),
+    )  # fmt: skip
+    def nodes_end_connections(self, which, how, of):
+        for node in self.chosen(which):
+            for peer in list(node.peers):
+                if of == "all" or peer.rests() == (of == "rests"):
+                    getattr(peer.transport, how)()
+
+    @rule(
+        do=st.sampled_from(["loseConnection", "abortConnection", "write", "write"]), kind=st.sampled_from(list(KINDS)),
+        cell=st.integers(-1, 2), ticks=st.sampled_from([0, 0, 0, -1, 1, -2, 2]), count=st.integers(1, 2),
+    )  # fmt: skip
+    def requests_meet_the_end_of_a_connection_that_rests(self, do, kind, cell, ticks, count):
+        """Or noise on it; requests come some ticks sooner or later."""
+        client = self.connects(0.9)
+        self.world.next.clear()
+        self.send(client, "read", cell, 2)
+        self.network.advance(0.03)
+        resting = [peer for node in self.nodes for peer in node.peers if peer.rests()]
+        SEEN["crossings"] += bool(resting)
+        if ticks > 0:
+            self.send(client, kind, cell, count)
+        self.network.advance(abs(ticks) * TICK)
+        for peer in resting:
+            getattr(peer.transport, do)(*([b"+noise\r\n"] if do == "write" else []))
+        if ticks < 0:
+            self.network.advance(-ticks * TICK)
+        if ticks <= 0:
+            self.send(client, kind, cell, count)
+        self.network.advance(0.01)
+
+    @rule(
+        kind=st.sampled_from(list(KINDS)), cell=st.integers(-1, 2), gap=st.sampled_from(GAPS[1:]),
+        after=st.sampled_from([0.002, 0.004, 0.007]),
+    )  # fmt: skip
+    def requests_follow_an_answer_that_comes_twice(self, kind, cell, gap, after):
+        self.world.next = deque([("twice", gap), ("hangs", 0.0)])
+        client = self.connects(0.9)
+        self.send(client, "read", cell)
+        self.network.advance(after)
+        self.send(client, kind, cell)
+        self.network.advance(0.02)
+
+    @rule(
+        kind=st.sampled_from(list(KINDS)), cell=st.integers(-1, 2), gap=st.sampled_from([0.004, 0.008]),
+        after=st.sampled_from([0.1, 0.15, 0.3]),
+    )  # fmt: skip
+    def requests_follow_one_that_is_answered_after_it_was_given_up(self, kind, cell, gap, after):
+        self.world.next = deque([("late", gap), ("hangs", 0.0), ("hangs", 0.0), ("hangs", 0.0)])
+        client = self.connects(0.9)
+        self.send(client, "read", cell)
+        self.network.advance(after)
+        self.send(client, kind, cell)
+        self.network.advance(0.3)
+
+    # --- their connections and the list ---
+
+    @rule(
+        which=st.integers(0, 5),
+        late=st.lists(st.sampled_from([0.0, 0.02, 0.12, 0.3, 0.6, 1.5, None, "refused"]), min_size=1, max_size=3),
+    )  # fmt: skip
+    def dials_become(self, which, late):
+        for node in self.chosen(which):
+            self.network.dials[node.port] = deque(late)
+
+    @rule(
+        kind=st.sampled_from(["mark", "mark", "bind"]), cell=st.integers(-1, 2), how=st.sampled_from(["resets", "closes"]),
+        late=st.lists(st.sampled_from([0.0, 0.1, 0.3, 0.6]), min_size=1, max_size=3),
+    )  # fmt: skip
+    def connections_come_up_late_after_a_reset(self, kind, cell, how, late):
+        self.nodes_end_connections(9, "loseConnection", "rests")
+        self.network.advance(WAY)
+        self.world.next = deque([(how, 0.0), ("now", 0.0)])
+        for node in self.nodes:
+            self.network.dials[node.port] = deque([0.0, *late])
+        self.send(self.connects(2.0), kind, cell)
+        self.network.advance(0.01)
+
+    @precondition(lambda self: self.world.agent.watches)
+    @rule(which=st.integers(0, 3), state=st.sampled_from(["Ready", "Ready", "Terminating", "Gone"]))
+    def node_changes_state(self, which, state):
+        node = self.nodes[which % len(self.nodes)]
+        if state != node.state:
+            node.left_at = None if state == "Ready" else node.left_at or self.network.now
+            node.state = state
+            self.world.list_changes([node.entry()])
+
+    @precondition(lambda self: self.world.agent.watches)
+    @rule(which=st.integers(0, 3), resets=st.booleans())
+    def node_is_replaced_at_its_address(self, which, resets):
+        node = self.nodes[which % len(self.nodes)]
+        gone = [node.entry(state="Gone")] if node.state != "Gone" else []
+        node.lives += 1
+        node.name = f"{node.name.partition('+')[0]}+{node.lives}"
+        node.state, node.left_at = "Ready", None
+        self.world.list_changes([*gone, node.entry()])
+        if resets:
+            self.nodes_end_connections(self.nodes.index(node), "abortConnection", "all")
+
+    # --- the gateway, and time ---
+
+    @precondition(lambda self: self.left_at is None)
+    @rule(odds=st.integers(0, 7))
+    def gateway_leaves(self, odds):
+        if not odds:
+            self.left_at = self.network.now
+            self.world.service.leave()
+
+    @rule(seconds=st.sampled_from([TICK, 0.002, 0.011, 0.05, 0.15, 0.4, 1.2]))
+    def time_passes(self, seconds):
+        self.network.advance(seconds)
+
+    # --- the oracle ---
+
+    @invariant()
+    def nothing_is_written_to_a_connection_that_ends(self):
+        assert not DROPPED, "written to a connection that this side had ended"
+
+    @invariant()
+    def attempts_begin_in_time(self):
+        """The rules of each attempt by itself."""
+        left = {each.name: client.left_at for client in getattr(self, "clients", ()) for each in client.sent}
+        attempts = self.world.attempts if hasattr(self, "world") else ()
+        for each in attempts:
+            asked = self.requests[each.name]
+            assert each.at + each.told <= asked.due, f"told {each.told}, {asked.due - each.at:.3f} were left"
+            end = left[each.name]
+            assert end is None or each.at <= end + BREAK, f"begun {each.at - end:.3f} s after its client left"
+
+    def by_request(self):
+        """Attempts of each request, in their order."""
+        found = {}
+        for each in self.world.attempts:
+            found.setdefault(each.name, []).append(each)
+        return found
+
+    def judge_repeats(self):
+        for name, attempts in self.by_request().items():
+            kind = self.requests[name].kind
+            may_have_run = [each for each in attempts if not each.busy]
+            if not may_have_run or kind == "read":
+                continue
+            first, last = may_have_run[0], attempts[-1]
+            SEEN[f"{kind} repeated"] += last is not first
+            if kind == "bind":
+                assert last is first, "an unsafe request that may have run is sent again"
+            assert last.at <= first.at + WINDOW, f"repeated {last.at - first.at:.3f} s after it first began"
+
+    def judge_client(self, client, attempted):
+        """Each request has exactly one whole answer in time, or its client left, or it crossed the shutdown."""
+        for asked, (reply, at) in zip(client.sent, client.got, strict=False):
+            assert at <= asked.due, f"answered {at - asked.due:.3f} s late"
+            attempts = attempted.get(asked.name, [])
+            if isinstance(reply, bytes):
+                assert attempts and reply == attempts[-1].value, "an answer that was made for another attempt"
+                SEEN["served"] += 1
+            elif reply.text.startswith(b"BUSY") and asked.kind != "read":
+                ran = [each for each in attempts if not each.busy]
+                assert not ran, "said that nothing ran, and an attempt had begun"
+        assert len(client.got) <= len(client.sent), "more answers than requests"
+        if client.left_at is not None:
+            return
+        for asked in client.sent[len(client.got) :]:
+            assert asked.name not in attempted, "sent on and not answered"
+            assert client.shut_at is not None and asked.at + WAY >= client.shut_at, "read and not answered"
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        if self.left_at is not None:
+            self.network.run_until(max(self.network.now, self.left_at + KILL))
+            assert self.world.over == [1], "it did not end before its kill"
+            self.network.advance(WAY)
+        else:
+            self.network.advance(LAST)
+            assert not self.world.service.gateway.ledger.open
+        attempted = self.by_request()
+        self.nothing_is_written_to_a_connection_that_ends()
+        self.attempts_begin_in_time()
+        self.judge_repeats()
+        for client in self.clients:
+            self.judge_client(client, attempted)
+        self.network.advance(IDLE if self.left_at is None else 0.0)
+        assert not any(node.peers for node in self.nodes), "a connection that nobody uses is kept"
+
+
+@pytest.fixture(autouse=True)
+def ends(monkeypatch):
+    """Notes when each end of a connection is ended by its own side, and what the gateway writes to a node after that."""
+    for name in ("loseWriteConnection", "loseConnection", "abortConnection"):
+        whole = getattr(VirtualTransport, name)
+
+        def noted(transport, *args, _whole=whole):
+            if not transport.lost:
+                SHUTS.setdefault(transport, transport.network.now)
+            return _whole(transport, *args)
+
+        monkeypatch.setattr(VirtualTransport, name, noted)
+    write = VirtualTransport.write
+
+    def written(transport, data):
+        ended = transport.lost or transport.disconnecting or transport.shut
+        if ended and isinstance(transport.peer.protocol, NodePeer):
+            DROPPED.append(data)
+        write(transport, data)
+
+    monkeypatch.setattr(VirtualTransport, "write", written)
+
+
+def play(seeds=SEEDS):
+    """Several short runs: in one long one most examples are alike."""
+    profile = settings(
+        max_examples=50, stateful_step_count=30, deadline=None, database=None, phases=[Phase.generate],
+        report_multiple_bugs=False,
+    )  # fmt: skip
+    for each in seeds:
+        run_state_machine_as_test(seed(each)(Nodes), settings=profile)
+
+
+def test_requests_are_served_by_their_own_answers_and_repeated_in_their_window_whatever_connections_do():
+    SEEN.clear()
+    play()
+    for what in [*MODES, "late dials", "crossings", "mark repeated", "served"]:
+        assert SEEN[what], f"never drawn: {what}"
+
+
+# --- mistakes made on purpose, each of which the machine must find ---
+
+
+def writes_repeats_behind_their_window(monkeypatch):
+    whole = Carrier.send
+    monkeypatch.setattr(Carrier, "send", lambda self, *told: whole(self, *told[:-1], 0))
+
+
+def uses_a_connection_again_at_once(monkeypatch):
+    monkeypatch.setattr(line, "REST", 0.0)
+
+
+def gives_attempts_to_a_connection_that_it_ends(monkeypatch):
+    monkeypatch.setattr(Carrier, "link_ending", lambda self, link: None)
+
+
+def takes_a_reset_for_proof_that_nothing_ran(monkeypatch):
+    monkeypatch.setattr(carrier, "seen_at_close", lambda written, answering, how: proof.Seen.CLOSED_BEFORE)
+
+
+def takes_half_an_answer_for_proof_that_nothing_ran(monkeypatch):
+    whole = proof.seen_at_close
+
+    def seen(written, answering, how):
+        return proof.Seen.CLOSED_BEFORE if how is proof.Close.HALF_HEADER else whole(written, answering, how)
+
+    monkeypatch.setattr(carrier, "seen_at_close", seen)
+
+
+def takes_what_begins_like_busy_for_busy(monkeypatch):
+    whole = words.answer
+
+    def answer(reply):
+        if isinstance(reply, codec.Error) and reply.text.startswith(b"BUSY"):
+            reply = codec.Error(b"BUSY")
+        return whole(reply)
+
+    monkeypatch.setattr(line, "answer", answer)
+
+
+def keeps_the_connection_of_an_attempt_that_it_gave_up(monkeypatch):
+    def drop(link, leg):
+        link.leg = None
+        link.client.link_freed(link, -1)
+
+    monkeypatch.setattr(RespLine, "drop", drop)
+
+
+def takes_what_came_behind_an_answer_for_the_next_one(monkeypatch):
+    whole = RespLine.dataReceived
+
+    def received(link, data):
+        if link.leg is None:
+            link.replies.feed(data)
+            return
+        whole(link, data)
+
+    monkeypatch.setattr(RespLine, "dataReceived", received)
+
+
+def tells_the_time_that_was_left_at_the_decision(monkeypatch):
+    whole = RespLine.send
+
+    def send(link, leg):
+        sent_at, leg.sent_at = leg.sent_at, gateway.now_ns(link.client.clock)
+        whole(link, leg)
+        leg.sent_at = sent_at
+
+    monkeypatch.setattr(RespLine, "send", send)
+
+
+def writes_what_waited_for_a_node_that_is_not_listed_any_more(monkeypatch):
+    monkeypatch.setattr(Carrier, "shed", lambda self, stays: None)
+
+
+def writes_what_its_client_has_left(monkeypatch):
+    whole = Carrier.cancel
+    monkeypatch.setattr(Carrier, "cancel", lambda self, leg: whole(self, leg) if leg.id >= 0 else None)
+
+
+def takes_a_connection_that_it_has_given_up(monkeypatch):
+    def build(dial, address):
+        link = dial.client.links[dial.line.number] = RespLine(dial.client, dial.line)
+        return link
+
+    monkeypatch.setattr(line._Dial, "buildProtocol", build)
+
+
+MISTAKES = [
+    writes_repeats_behind_their_window, uses_a_connection_again_at_once, gives_attempts_to_a_connection_that_it_ends,
+    takes_a_reset_for_proof_that_nothing_ran, takes_half_an_answer_for_proof_that_nothing_ran,
+    takes_what_begins_like_busy_for_busy, keeps_the_connection_of_an_attempt_that_it_gave_up,
+    takes_what_came_behind_an_answer_for_the_next_one, tells_the_time_that_was_left_at_the_decision,
+    writes_what_waited_for_a_node_that_is_not_listed_any_more, writes_what_its_client_has_left,
+    takes_a_connection_that_it_has_given_up,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("mistake", MISTAKES)
+def test_a_mistake_made_on_purpose_is_found(mistake, monkeypatch):
+    mistake(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        play()
