A connection to a node rests until what came in its rest has been read

Cause: the machine of node connections, with a loop that stands still for 20 to 500 ms, saw a request served with what was made for another. A node answers twice, the second time some ms later, while the loop stands still. A loop calls its timers before it reads, so RespLine._rested (resp/line.py) ended the rest of 10 ms with the second answer unread; the next request was written (Pool.relieve gives it at once to one that waits) and took that answer for its own. Excluded: a second answer later than the rest, and the oracle (the value's request id is another's). Change: when the time is over, RespLine frees the connection one turn of the loop later; what stands unread is read before, and ends the connection as ever. A turn costs no time that counts.

--- a/ochrecourse/resp/line.py
+++ b/ochrecourse/resp/line.py
@@ -101,6 +101,11 @@
         self.client.answered(self, leg, message, value, True)
 
     def _rested(self) -> None:
+        # Guards against a loop that stood still: it calls its timers before it reads, and what came in the
+        # time of the rest may stand unread. It is read before the next turn's calls.
+        self.client.clock.callLater(0, self._free)
+
+    def _free(self) -> None:
         if self.up:
             self.client.link_freed(self, -1)
 
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -312,6 +312,25 @@
     assert client.got == value(1) and len(shop.node.commands) == 2 and shop.node.lost == 1
 
 
+@pytest.mark.parametrize("waits", [True, False])
+def test_a_second_answer_that_stands_unread_when_its_connection_has_rested_is_not_the_next_request_s(waits):
+    """Guards against a loop that stood still: it calls its timers before it reads, and so ended the rest of a connection
+    on which a second answer had come in its time."""
+    lines = Lines()
+    lines.send(1)
+    link = lines.connect()
+    answer = good([b"", b"", b"%016x" % 1])
+    link.dataReceived(answer)
+    if waits:
+        lines.send(2)
+    lines.network.now += 0.05  # no timer was called meanwhile
+    if not waits:
+        lines.network.callLater(0, lines.send, 2)  # read before the second answer is
+    lines.network.callLater(0, link.dataReceived, answer)
+    lines.network.advance(0)
+    assert [job for job, _ in lines.answers] == [1]
+
+
 # --- what lies between a decision and its writing ---
 
 
