Dispatcher, attempts and pooled connections: nodes/ and its RESP2 side in the field's names

Cause: nodes/ spoke of carriers, legs, lines, links, takers, byes and cuts, which are withdrawn. Change: Dispatcher (dispatcher.py), OutgoingAttempt, AttemptListener, NodeConnection, PooledConnection, FramedConnection (framed_connection.py), RespNodeConnection (resp/node_connection.py); `close` and `abort` for the two ends of a connection, `Framed.abort` with them; modules join tests/test_names.py. Gateway follows where it uses them.

--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -29,7 +29,7 @@
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.registrar import Registrar, age_clock
 from ochrecourse.membership.view import Copy, News
-from ochrecourse.nodes.link import dialler
+from ochrecourse.nodes.framed_connection import dialler
 from ochrecourse.nodes.proof import Seen
 from ochrecourse.outside import MS, SECOND, Network, now_ns
 from ochrecourse.settings.load import address
@@ -279,7 +279,7 @@
         if self.enrolled is not None:
             self.enrolled.stop()
         for front in list(self.front.fronts):
-            front.cut()
+            front.abort()
         for channel in list(self.door.channels) if self.door is not None else ():
             channel.transport.abortConnection()
 
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -4,10 +4,10 @@
     gateway.list_came(ListKind.FULL, entries, addresses)
     gateway.take(request, asker)                                      # the asker hears exactly one answer
 
-Free of I/O: the clock, the seed and what opens connections (nodes/link.py) are handed in. It decides nothing
-about a request. Every report goes to `decide.Scheduler`; then its decisions are pulled one by one until none
-is left; attempts, replies and list calls are carried out; one timer brings it back at `next_due`. Several
-gateways can live in one process, on the real reactor or a virtual clock.
+Free of I/O: the clock, the seed and what opens connections (nodes/framed_connection.py) are handed in. It
+decides nothing about a request. Every report goes to `decide.Scheduler`; then its decisions are pulled one by
+one until none is left; attempts, replies and list calls are carried out; one timer brings it back at
+`next_due`. Several gateways can live in one process, on the real reactor or a virtual clock.
 """
 
 from __future__ import annotations
@@ -24,12 +24,13 @@
 from ochrecourse import interface
 from ochrecourse.interface import Attempt, AttemptEnd, Decisions, Health, ListCall, ListKind, NodeEntry
 from ochrecourse.interface import Outcome, Reply
-from ochrecourse.nodes.carrier import Body, Carrier, LegOut, OpenLine
+from ochrecourse.nodes.dispatcher import Body, Dispatcher, OutgoingAttempt, OpenConnection
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.nodes.proof import PROVES, Seen, Written
 from ochrecourse.nodes.reach import Reach
 from ochrecourse.outside import MS, SECOND, Clock, Timer, now_ns, stop
 from ochrecourse.wire import messages as m
+
 TURNS_BEHIND = 2  # of the loop: one reads a connection's bytes, the next the end that stands behind them
 UNREAD = 50 * MS  # half of the 0.1 s in which a client's end must be heeded; the rest is for the way
 SLOW_DIAL = 0.1  # of the shortest promised time, after which a dial is slow; leaves time for a second one
@@ -80,10 +81,10 @@
     """Who holds copies of objects that were read, where there are any (`Gateway.copies`)."""
 
     def came(self, job: int, request: Request, write: bool, due: int, asker: Asker) -> Asker | None:
-        """Who hears of a job from the nodes; None if no leg is to be sent for it now."""
+        """Who hears of a job from the nodes; None if no attempt is to be sent for it now."""
 
     def left(self, job: int) -> bool:
-        """A job's client no longer waits; True if no leg of the job was ever sent."""
+        """A job's client no longer waits; True if no attempt of the job was ever sent."""
 
     def goes_on(self, job: int) -> bool:
         """Whether an answer that has begun is still wanted."""
@@ -92,7 +93,7 @@
         """A client took so many bytes; True if the node need not hear of it."""
 
     def over(self, job: int, certain: bool) -> None:
-        """A job is over, and no leg of it is out; `certain`: it took effect, or surely did not."""
+        """A job is over, and no attempt of it is out; `certain`: it took effect, or surely did not."""
 
 
 class BadRequest(Exception):
@@ -127,15 +128,15 @@
 class _Task:
     """A job between its request and its end: what the gateway needs to carry it out."""
 
-    __slots__ = ("answer_left", "asker", "began", "leg", "request", "story")
+    __slots__ = ("answer_left", "asker", "attempt", "began", "request", "story")
 
     def __init__(self, request: Request, asker: Asker, story: JobStory) -> None:
         self.request = request
         self.asker = asker
         self.story = story
-        self.leg: LegOut | None = None
+        self.attempt: OutgoingAttempt | None = None
         self.answer_left = 0
-        self.began = 0  # ns, when the answer of the leg that is out began to stream
+        self.began = 0  # ns, when the answer of the attempt that is out began to stream
 
 
 class Gateway:
@@ -147,7 +148,7 @@
         values: Mapping[str, str],
         seed: int,
         clock: Clock,
-        open_line: OpenLine,
+        open_connection: OpenConnection,
         name: str,
         travel: int = 0,
         observers: Sequence[Observer] = (),
@@ -168,7 +169,7 @@
         self.kinds = _Kinds(values)
         self.max_open = int(_number(values, "Limits.MaxOpen", 20_000))
         limits = limits or PoolLimits(
-            legs=int(_number(values, "Limits.Multiplex", 32)),
+            attempts=int(_number(values, "Limits.Multiplex", 32)),
             connections=int(_number(values, "Limits.Connections", 4)),
             dials=int(_number(values, "Limits.Dials", 16)),
             idle=round(_number(values, "Limits.IdleClose", 15_000) * MS),
@@ -176,7 +177,9 @@
         self.addresses: dict[int, tuple[str, int]] = {}
         dial_time = _number(values, "Limits.DialTimeout", 250) / 1000
         slow_dial = min(self.kinds.aims, default=SECOND) * SLOW_DIAL / SECOND
-        self.nodes = Carrier(name, clock, limits, dial_time, self.addresses.get, open_line, slow_dial)
+        self.nodes = Dispatcher(
+            name, clock, limits, dial_time, self.addresses.get, open_connection, slow_dial
+        )
         self.scheduler = decisions(values, seed, now_ns(clock))
         self.ledger = Ledger()
         self.leaving = Leaving()
@@ -185,7 +188,7 @@
         self.followed = False  # the decisions asked for the list of nodes
         self.follow: Callable[[], None] | None = None
         self.left: list[Callable[[], None]] = []  # called when the gateway has left
-        self.legs_over: list[Callable[[JobStory, LegStory], None]] = []  # called with each leg that ended
+        self.legs_over: list[Callable[[JobStory, LegStory], None]] = []  # called with each attempt that ended
         self.entries: dict[int, NodeEntry] = {}
         self.holders: Counter[int] = Counter()  # by shard: nodes that take jobs
         self.reach = Reach()
@@ -211,7 +214,8 @@
         self.holders = Counter(each.shard for each in self.entries.values() if each.health is Health.READY)
         self.addresses.update(addresses)
         self.scheduler.list_received(kind, entries, now_ns(self.clock))
-        # Guards against a leg that waits for its connection and is written when its node has long drained.
+        # Guards against an attempt that waits for its connection and is written when its node has long
+        # drained.
         self.nodes.shed(self._ready)
         self._pull()
 
@@ -281,18 +285,18 @@
             if not unsent:
                 self.scheduler.request_cancelled(job)
             gone = self.tasks[job]
-            if gone.leg is not None and gone.leg.handed() is not Written.WHOLE:
-                self.nodes.cancel(gone.leg)  # nothing of it runs, and nobody waits for it
+            if gone.attempt is not None and gone.attempt.handed() is not Written.WHOLE:
+                self.nodes.cancel(gone.attempt)  # nothing of it runs, and nobody waits for it
             self._over(gone)
             self._pull()
         elif unsent:
             self._over(self.tasks[job])
         elif self.copies is not None and self.copies.goes_on(job):
             pass  # others may read what comes
-        elif (task := self.tasks.get(job)) is not None and task.leg is not None:
+        elif (task := self.tasks.get(job)) is not None and task.attempt is not None:
             # Its answer had begun and nobody reads the rest, which is no fault of anybody.
             task.answer_left = 0
-            self.nodes.cancel(task.leg)
+            self.nodes.cancel(task.attempt)
 
     def leave_all(self, jobs: Sequence[int]) -> None:
         """The client of several jobs no longer waits: none of them takes the place of another that it left.
@@ -313,8 +317,8 @@
     def grant(self, job: int, size: int) -> None:
         """So many more bytes of a job's answer may come from its node."""
         task = self.tasks.get(job)
-        if task is not None and task.leg is not None:
-            self.nodes.grant(task.leg, size)
+        if task is not None and task.attempt is not None:
+            self.nodes.grant(task.attempt, size)
 
     def drain(self) -> None:
         """Nothing new is taken from now on; `left` is called when all that is held has its answer."""
@@ -333,7 +337,7 @@
     # --- for the copies, where there are any ---
 
     def fulfil(self, job: int) -> bool:
-        """Books the answer of a job that needs no leg; False if it is too late for one."""
+        """Books the answer of a job that needs no attempt; False if it is too late for one."""
         return self.ledger.answer(job, Closing.FULFILLED, now_ns(self.clock)) is not None
 
     def send_on(self, job: int, asker: Asker) -> None:
@@ -343,19 +347,19 @@
         self._to_scheduler(task.story, task.request, now_ns(self.clock))
 
     def finish(self, job: int, whole: bool) -> None:
-        """Ends a job that needed no leg: all of its answer was handed on, or the rest will not come."""
+        """Ends a job that needed no attempt: all of its answer was handed on, or the rest will not come."""
         task = self.tasks[job]
         if not whole:
             self.ledger.broke_off(task.story)
         self._over(task)
 
-    # --- the nodes' side (nodes.carrier.Taker) ---
+    # --- the nodes' side (nodes.dispatcher.AttemptListener) ---
 
-    def written(self, leg: LegOut) -> None:
-        self.scheduler.attempt_written(leg.job, now_ns(self.clock))
+    def written(self, attempt: OutgoingAttempt) -> None:
+        self.scheduler.attempt_written(attempt.request_id, now_ns(self.clock))
 
-    def began(self, leg: LegOut, answer: m.Done) -> None:
-        task = self.tasks[leg.job]
+    def began(self, attempt: OutgoingAttempt, answer: m.Done) -> None:
+        task = self.tasks[attempt.request_id]
         if answer.size > answer.body:
             task.story.streaming = True
             task.began = now_ns(self.clock)
@@ -364,24 +368,24 @@
             task.answer_left = answer.size
             task.asker.fulfilled(task.story.number, answer.size, answer.shard)
 
-    def piece(self, leg: LegOut, data: bytes) -> None:
-        task = self.tasks[leg.job]
+    def piece(self, attempt: OutgoingAttempt, data: bytes) -> None:
+        task = self.tasks[attempt.request_id]
         if task.story.closing is Closing.FULFILLED:
             task.answer_left -= len(data)
             task.asker.piece(task.story.number, data)
         else:
-            self.nodes.grant(leg, len(data))  # nobody waits: let the node finish
+            self.nodes.grant(attempt, len(data))  # nobody waits: let the node finish
 
-    def ended(self, leg: LegOut, seen: Seen, answer: m.Any | None) -> None:
-        job = leg.job
+    def ended(self, attempt: OutgoingAttempt, seen: Seen, answer: m.Any | None) -> None:
+        job = attempt.request_id
         task = self.tasks[job]
         proof = PROVES[seen]
         now = now_ns(self.clock)
-        story, over = self.ledger.ended(job, leg.message.number, proof.ending, seen.value, now)
+        story, over = self.ledger.ended(job, attempt.message.number, proof.ending, seen.value, now)
         for call in self.legs_over:
             call(story, over)
-        self.reach.ended(leg.node, proof.ending)
-        task.leg = None
+        self.reach.ended(attempt.node, proof.ending)
+        task.attempt = None
         began, task.began = task.began, 0
         if task.answer_left and seen is not Seen.DONE:
             task.answer_left = 0
@@ -390,12 +394,12 @@
         told = answer if isinstance(answer, m.NodeAnswer) else None
         end = AttemptEnd(
             request_id=job,
-            number=leg.message.number,
-            node=leg.node,
+            number=attempt.message.number,
+            node=attempt.node,
             ending=proof.ending,
             # A stream took until it began: how fast its client reads is not the node's doing. Nor is how long
             # its connection took to come up.
-            took=(began or now) - (leg.went_at or leg.sent_at),
+            took=(began or now) - (attempt.on_connection_at or attempt.sent_at),
             last=story.closing is not None,
             volume_used=told.used if told else -1.0,
             elsewhere=told.elsewhere if told else 0,
@@ -412,8 +416,7 @@
         if self._pulling or self._catching_up:
             return
         if self._behind():
-            # The rest of this turn is read first, and then as after a late timer.
-            self._catch_up(TURNS_BEHIND + 1)
+            self._catch_up(TURNS_BEHIND + 1)  # the rest of this turn is read first
             return
         self._decide()
 
@@ -502,7 +505,7 @@
         # the wait. Another goes elsewhere after the time that the settings give a dial.
         alone = request.shard >= 0 and self.holders[request.shard] <= 1
         wait = story.taken + self.kinds.aims[product] - now if alone else None
-        task.leg = self.nodes.send(
+        task.attempt = self.nodes.send(
             said.request_id, said.node, message, request.body, time_out, stall, self, wait, said.write_before
         )
 
--- a/ochrecourse/gateway/turns.py
+++ b/ochrecourse/gateway/turns.py
@@ -22,5 +22,5 @@
         self._returned.extend([returned] * (POLLS if waited else 1))
 
     def unread_since(self) -> int:
-        """All that came before this time (ns) has been read, with the end that stood behind it."""
+        """All that arrived before this time (ns) has been read, with the end that stood behind it."""
         return self._returned[0]
--- a/ochrecourse/lab/alike.py
+++ b/ochrecourse/lab/alike.py
@@ -29,7 +29,7 @@
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import News
-from ochrecourse.nodes.link import dialler
+from ochrecourse.nodes.framed_connection import dialler
 from ochrecourse.outside import MS, Network, now_ns
 from ochrecourse.settings.load import address, resolve, write
 from ochrecourse.settings.plain import plain_map
--- a/ochrecourse/lab/load.py
+++ b/ochrecourse/lab/load.py
@@ -433,7 +433,7 @@
         for lines in self.lines.values():
             lines.stopped = True
             for line in list(lines.up):
-                line.cut()
+                line.abort()
 
     def worth(self, call: Call) -> float:
         product, plan = self.day.products[call.product], self.day.plans[call.volume.plan]
--- a/ochrecourse/library.py
+++ b/ochrecourse/library.py
@@ -17,7 +17,7 @@
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.membership.follower import Follower
 from ochrecourse.membership.view import News
-from ochrecourse.nodes.link import dialler
+from ochrecourse.nodes.framed_connection import dialler
 from ochrecourse.settings.load import Refused, load, resolve
 from ochrecourse.settings.plain import plain_map
 
--- a/ochrecourse/membership/conflicts.py
+++ b/ochrecourse/membership/conflicts.py
@@ -88,11 +88,11 @@
                 sight.refused_since = at
             return
         sight.refusals = 0
-        if seen is Seen.NOT_HELD:
+        if seen is Seen.NOT_STORED:
             sight.not_held = at
         elif seen is Seen.DONE:
             sight.not_held = -1
-        if seen in (Seen.DONE, Seen.FAILED, Seen.FULL, Seen.NOT_HELD):
+        if seen in (Seen.DONE, Seen.FAILED, Seen.FULL, Seen.NOT_STORED):
             sight.spoke = at
 
     def _forgotten(self, sight: _Sight, now: int) -> bool:
--- a/ochrecourse/membership/follower.py
+++ b/ochrecourse/membership/follower.py
@@ -140,7 +140,7 @@
         self.stopped = True
         stop(self._timer)
         if self.line is not None:
-            self.line.cut()
+            self.line.abort()
 
     def list_came(self, kind: str, epoch: int, lines: list[m.Listed]) -> None:
         if self.take(kind, epoch, lines):
--- a/ochrecourse/nodes/reach.py
+++ b/ochrecourse/nodes/reach.py
@@ -1,10 +1,10 @@
-"""Which nodes this gateway reaches, from how its dials and legs go. Free of I/O and clocks.
+"""Which nodes this gateway reaches, from how its dials and attempts go. Free of I/O and clocks.
 
 A node counts as out of reach after several failures in a row with no word from it in between, or while
-several legs have waited for a word of it for longer than a node at work stays silent. Any word of service
+several attempts have waited for a word of it for longer than a node at work stays silent. Any word of service
 brings it back. Only failures that a live node would not cause count: refused or silent dials, broken
-connections, and time-outs. The same holds for all nodes together: a few legs at each may still say that none
-answers.
+connections, and time-outs. The same holds for all nodes together: a few attempts at each may still say that
+none answers.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 from ochrecourse.interface import Ending
 
 IN_A_ROW = 3  # failures; one or two are an accident on any busy day
-UNHEARD = 2  # legs sent since the last word; one may be a heavy job
-SILENCE = 550_000_000  # ns that a node with legs may say nothing; over its pauses, well under a second
+UNHEARD = 2  # attempts sent since the last word; one may be a heavy request
+SILENCE = 550_000_000  # ns that a node with attempts may say nothing; over its pauses, well under a second
 SILENT = frozenset((Ending.UNREACHABLE, Ending.RESET, Ending.TIMEOUT))
 
 
@@ -28,12 +28,12 @@
     sent: int = 0
     since: int = 0
 
-    def leg_sent(self, now: int) -> None:
+    def attempt_sent(self, now: int) -> None:
         if not self.sent:
             self.since = now
         self.sent += 1
 
-    def leg_ended(self, ending: Ending) -> None:
+    def attempt_ended(self, ending: Ending) -> None:
         if ending in SILENT:
             self.failures += 1
         elif ending is Ending.FULL:
@@ -47,21 +47,21 @@
 
 
 class Reach:
-    """All nodes that were sent a leg."""
+    """All nodes that were sent an attempt."""
 
     def __init__(self) -> None:
         self.nodes: dict[int, Heard] = {}
         self.whole = Heard()
 
     def sent(self, node: int, now: int) -> None:
-        """A leg goes to this node."""
-        self.nodes.setdefault(node, Heard()).leg_sent(now)
-        self.whole.leg_sent(now)
+        """An attempt goes to this node."""
+        self.nodes.setdefault(node, Heard()).attempt_sent(now)
+        self.whole.attempt_sent(now)
 
     def ended(self, node: int, ending: Ending) -> None:
-        """A leg at this node ended so."""
-        self.nodes.setdefault(node, Heard()).leg_ended(ending)
-        self.whole.leg_ended(ending)
+        """An attempt at this node ended so."""
+        self.nodes.setdefault(node, Heard()).attempt_ended(ending)
+        self.whole.attempt_ended(ending)
 
     def reached(self, nodes: Iterable[int], now: int) -> int:
         """How many of these nodes are not out of reach."""
--- a/ochrecourse/relay/service.py
+++ b/ochrecourse/relay/service.py
@@ -19,7 +19,7 @@
 from ochrecourse.relay.start import BadStart, Start
 from ochrecourse.relay.watch import Watch
 from ochrecourse.resp.front import RespFrontFactory
-from ochrecourse.resp.line import dialler
+from ochrecourse.resp.node_connection import dialler
 from ochrecourse.resp.words import Kinds
 
 TRAVEL = 40 * MS  # ns kept back of a client's time: its way here is not seen, nor a busy loop foreseen
@@ -65,7 +65,7 @@
         values = start.values
         idle = float(values.get("Limits.IdleClose", 15_000))
         idle_ns = round(idle * MS / IDLE_PART)
-        limits = PoolLimits(legs=1, connections=nodes, dials=DIALS, idle=idle_ns, total=nodes)
+        limits = PoolLimits(attempts=1, connections=nodes, dials=DIALS, idle=idle_ns, total=nodes)
         self.gateway = Gateway(
             values, start.seed, network, dialler(network), start.name, travel=TRAVEL, limits=limits,
             unread_since=unread_since,
--- a/ochrecourse/standins/listserver.py
+++ b/ochrecourse/standins/listserver.py
@@ -115,7 +115,7 @@
 
     def break_all(self) -> None:
         for port in list(self.ports):
-            port.cut()
+            port.abort()
 
     def _push(self, port: ListPort, epoch: int, line: m.Listed) -> None:
         if port.up and port in self.ports:
--- a/ochrecourse/standins/node.py
+++ b/ochrecourse/standins/node.py
@@ -43,7 +43,7 @@
 
     def ready(self) -> None:
         if len(self.factory.ports) >= self.machine.kind.connections:
-            self.cut()
+            self.abort()
             return
         self.factory.ports[self] = None
         self.transport.registerProducer(self, True)
@@ -254,12 +254,12 @@
 
     def cut_all(self) -> None:
         for port in list(self.ports):
-            port.cut()
+            port.abort()
 
     def cut_where(self, gateway: Callable[[str], bool]) -> None:
         for port in list(self.ports):
             if gateway(port.gateway):
-                port.cut()
+                port.abort()
 
     def say_bye(self) -> None:
         for port in self.ports:
--- a/ochrecourse/wire/framed.py
+++ b/ochrecourse/wire/framed.py
@@ -70,9 +70,9 @@
                 self.transport.loseConnection()
                 # Guards against a peer that never reads: what it left unread would keep the connection for
                 # ever.
-                self.clock.callLater(HEADER_TIME, self.cut)
+                self.clock.callLater(HEADER_TIME, self.abort)
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Ends the connection without waiting for what is unsent."""
         if self.up:
             self.transport.abortConnection()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.interface import Ending, Health, Request, AttemptEnd, ListKind, NodeEntry
 from ochrecourse.lab.virtual import VirtualNetwork
-from ochrecourse.nodes.link import dialler
+from ochrecourse.nodes.framed_connection import dialler
 from ochrecourse.wire import messages as m
 
 LOWER = 10  # steps of niceness for all other tests, so that one judged by real time has a core when it needs one
