Dispatcher: what waits for a connection is not written before the ends of clients are read

Cause: a request waits for its dial, the loop takes long, the client leaves meanwhile; the connection is then seen to be open before the client's end, and the attempt was written 0.15 s after it. Gateway holds its decisions back after a long turn, the dispatcher knew nothing of that: Dispatcher.connection_opened and _relieve handed attempts on at once. Change: both wait for the turns that the gateway would wait (`Gateway._turns_behind`); a connection that closes before counts as a dial that failed.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -178,7 +178,7 @@
         dial_time = _number(values, "Limits.DialTimeout", 250) / 1000
         slow_dial = min(self.kinds.aims, default=SECOND) * SLOW_DIAL / SECOND
         self.nodes = Dispatcher(
-            name, clock, limits, dial_time, self.addresses.get, open_connection, slow_dial
+            name, clock, limits, dial_time, self.addresses.get, open_connection, slow_dial, self._turns_behind
         )
         self.scheduler = decisions(values, seed, now_ns(clock))
         self.ledger = Ledger()
@@ -447,6 +447,12 @@
         """Whether a client may have gone for some time, unseen, for the loop's turns take long."""
         return self._unread_since is not None and now_ns(self.clock) - self._unread_since() > UNREAD
 
+    def _turns_behind(self) -> int:
+        """How often the loop has to turn until all that stands unread now is known; 0 if it is."""
+        if self._catching_up:
+            return self._catching_up
+        return TURNS_BEHIND + 1 if self._behind() or self._overdue() else 0
+
     def _overdue(self) -> bool:
         """Whether the loop's turn took so long that the timer is late, which then sees to what is unread."""
         return self._timer is not None and now_ns(self.clock) - self._due > TRIFLE
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -134,7 +134,9 @@
         address_of: Callable[[int], tuple[str, int] | None],
         open_connection: OpenConnection,
         slow_dial: float | None = None,
+        turns_behind: Callable[[], int] = lambda: 0,
     ) -> None:
+        """`turns_behind`: of the loop, until what stands unread now has been read: a client may have gone."""
         self.name = name
         self.clock = clock
         self.open_connection = open_connection
@@ -143,6 +145,7 @@
         self.slow_dial = dial_time if slow_dial is None else slow_dial
         self.dial_times: deque[int] = deque(maxlen=USUAL)  # ns, of those that succeeded
         self.address_of = address_of
+        self.turns_behind = turns_behind
         self.connections: dict[int, NodeConnection] = {}  # by their number in the pool
         self.dials: dict[int, Timer] = {}
         self.give_up: dict[int, Callable[[], None]] = {}  # of dials that are under way
@@ -239,10 +242,16 @@
     # --- what the connections report ---
 
     def connection_opened(self, connection: NodeConnection) -> None:
-        timer = self.dials.pop(connection.pooled.number, None)
-        if timer is None:
+        self._opened(connection, self.turns_behind())
+
+    def _opened(self, connection: NodeConnection, turns: int) -> None:
+        if connection.pooled.number not in self.dials:
+            return  # given up, or closed again
+        if turns:
+            # Guards against a long turn: attempts that wait may be of clients whose end stands unread.
+            self.clock.callLater(0, self._opened, connection, turns - 1)
             return
-        stop(timer)
+        stop(self.dials.pop(connection.pooled.number))
         self.give_up.pop(connection.pooled.number, None)
         now = now_ns(self.clock)
         self.dial_times.append(now - connection.pooled.dialled_at)
@@ -272,7 +281,7 @@
         self.connections.pop(connection.pooled.number, None)
         if how is Close.GARBLED:
             self.counts["nodes that broke the protocol"] += 1
-        if not connection.met:
+        if not connection.met or connection.pooled.number in self.dials:
             self.dial_failed(connection.pooled, Seen.REFUSED)
             return
         self.pool.gone(connection.pooled)
@@ -386,6 +395,12 @@
     def _relieve(self, pooled: PooledConnection) -> None:
         """Attempts that wait for another connection to the same node go on this one, as far as it has room.
         """
+        self._relieve_after(pooled, self.turns_behind())
+
+    def _relieve_after(self, pooled: PooledConnection, turns: int) -> None:
+        if turns:
+            self.clock.callLater(0, self._relieve_after, pooled, turns - 1)
+            return
         while (number := self.pool.relieve(pooled)) is not None:
             self._go(self.out[number], pooled)
 
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -440,6 +440,38 @@
     assert here.service.gateway.ledger.legs == sent and not here.open
 
 
+def test_an_attempt_that_waits_for_its_connection_is_not_written_for_a_client_that_left_in_a_long_turn(shop):
+    """Guards against a connection that is seen to be open before the end of the client is read."""
+    here = shop(lambda words: None, **{"Classes.0.Aim": "2000"})
+    client, side = here.client()
+    client.sendall(read(1, d=60_000))
+    stands(side.transport.fileno(), select.POLLIN)
+    here.loop.turn()
+    dispatcher = here.service.gateway.nodes
+    here.loop.runUntilCurrent()  # the dial begins, and its connection is open in the system at once
+    assert here.service.gateway.ledger.legs == 1 and dispatcher.dials
+    client.sendall(PING)  # the end stands behind bytes, so one turn does not bring it
+    client.close()
+    end_stands(side)
+    here.loop.now += 0.15
+    here.loop.doIteration(0)
+    here.loop.settle()
+    assert not here.node.commands and not here.open
+
+
+def test_an_attempt_that_waits_is_written_after_a_long_turn_if_its_client_stays(shop):
+    here = shop(**{"Classes.0.Aim": "2000"})
+    client, side = here.client()
+    client.sendall(read(1, d=60_000))
+    stands(side.transport.fileno(), select.POLLIN)
+    here.loop.turn()
+    assert here.service.gateway.nodes.dials
+    here.loop.now += 0.15
+    here.loop.until(lambda: not here.open)
+    here.loop.settle()
+    assert readable(client) == value(1)
+
+
 def test_a_short_turn_sends_a_request_at_once(shop):
     here = shop(lambda words: None)
     slow = Slow(here.loop, 0.02)
