--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,9 +21,11 @@
 
 import click
 
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, World, judge
+from ochrecourse.lab.fleet_judge import judge
+from ochrecourse.lab.fleet_play import FleetPlay
 from ochrecourse.lab.fleet_told import ToldPlay
 from ochrecourse.lab.fleet_told import figures as figures_of_loss
+from ochrecourse.lab.fleet_world import Fault, World
 from ochrecourse.lab.load import schedule
 
 LOST = Fault(kind="zone_lost", at_s=15.0, len_s=20.0, zone=1)
--- a/benchmarks/rolling.py
+++ b/benchmarks/rolling.py
@@ -18,7 +18,9 @@
 import msgspec
 
 from benchmarks.fleet import ROWS, world
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, judge
+from ochrecourse.lab.fleet_judge import judge
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault
 
 BEGINS, LASTS = 34.0, 20.0  # s; a second before the zone is back, and through all of its return
 
--- a/benchmarks/rush.py
+++ b/benchmarks/rush.py
@@ -22,7 +22,9 @@
 from ochrecourse.fleet import almanac
 from ochrecourse.fleet.held import Copies
 from ochrecourse.lab.day import Day
-from ochrecourse.lab.fleet_play import FLEET_PORT, FleetPlay, FleetSeat, World, day_of
+from ochrecourse.lab.fleet_instance import FleetSeat
+from ochrecourse.lab.fleet_play import FLEET_PORT, FleetPlay
+from ochrecourse.lab.fleet_world import World, day_of
 from ochrecourse.outside import MS, SECOND, now_ns
 
 CLOSE = 12.0  # s; copies are warm by then
--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -22,7 +22,7 @@
 import click
 import msgspec
 
-from ochrecourse.lab.fleet_play import World
+from ochrecourse.lab.fleet_world import World
 from ochrecourse.lab.mistakes import MISTAKES, made
 from ochrecourse.lab.search import breaks, command, draw, found, shrink, size
 
--- /dev/null
+++ b/ochrecourse/lab/fleet_instance.py
@@ -0,0 +1,82 @@
+"""One gateway instance of a simulated fleet: its host, disk and clock, and what it answers an operator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ochrecourse.gateway.daemon import Daemon
+from ochrecourse.lab.fleet_disk import Disk
+from ochrecourse.lab.play import Seat, VirtualPlay
+
+if TYPE_CHECKING:
+    from ochrecourse.lab.fleet_play import FleetPlay
+
+EPOCH_MS = 1_790_000_000_000  # ms since 1970 at the virtual clock's zero; any time will do
+ANEW = 10.0  # s within which disks that are lost are lost at once: a life counts again after less
+
+
+class FleetSeat(Seat):
+    """A gateway with peers on a host of its own. Its disk outlives it, unless it is said to be lost."""
+
+    play: FleetPlay
+
+    def __init__(self, play: VirtualPlay, index: int) -> None:
+        super().__init__(play, index)
+        self.network = play.network.host(self.name)
+        self.disk = Disk()
+        self.zone = index % len(play.day.zones)
+        self.off = 0  # faults that keep it down
+        self.newest = play.world.newest  # type: ignore[attr-defined]
+        self.lost = False  # its disk was, once
+        self.lost_at = -ANEW  # s
+        self.wrong = 0.0  # ms by which its wall clock is wrong
+
+    def settings(self) -> dict[str, Any]:
+        record = super().settings()
+        if self.play.world.sharing:
+            record["fleet"] = self.play.fleet_record(self.index)
+            if self.play.site is not None:
+                record["sites"] = [{**self.play.site.record(self.play.world.close_s), "edges": [self.name]}]
+        return record
+
+    def wall_ms(self) -> int:
+        """Its machine's wall clock, ms since 1970."""
+        return self.play.wall_at(self.play.network.seconds()) + round(self.wrong)
+
+    def make(self, resolved: dict[str, Any]) -> Daemon:
+        if self.play.world.sharing:
+            # Not through the settings' text: 190 lists of 189 peers would take longer to read than the day.
+            resolved["fleet"]["peers"] = self.play.peers_of(self.index)
+            for site in resolved.get("sites", ()):
+                site["edges"] = [seat.name for seat in self.play.seats]
+            return Daemon(
+                resolved, self.network, [self.play], self.play.warnings.append, lambda: None,
+                decisions=self.play.decisions, tree=self.tree, epoch=EPOCH_MS // 1000, log=self.disk,
+                epoch_ms=self.wall_ms,
+            )  # fmt: skip
+        return Daemon(
+            resolved, self.network, [self.play], self.play.warnings.append, lambda: None,
+            decisions=self.play.decisions, tree=self.tree,
+        )  # fmt: skip
+
+    def runs(self) -> bool:
+        """Whether it can be asked and heard now."""
+        return self.daemon is not None and not self.play.network.host(self.name).still
+
+    def stands(self) -> dict[int, tuple[str, int]]:
+        """What stands for each zone, as it answers an operator: the word and the number."""
+        zones = self.zones()
+        if zones is None:
+            return {}
+        told = {zone: zones.standing(zone) for zone in range(len(self.play.day.zones))}
+        return {zone: (standing.name, number) for zone, (standing, number) in told.items()}
+
+    def zones(self) -> Any:
+        return getattr(self.part(), "zones", None)
+
+    def lose_disk(self) -> None:
+        self.disk, self.copy = Disk(), None
+        self.lost, self.lost_at = True, self.play.network.seconds()
+
+    def part(self) -> Any:
+        return getattr(self.daemon, "part", None)
--- a/ochrecourse/lab/fleet_notes.py
+++ b/ochrecourse/lab/fleet_notes.py
@@ -17,7 +17,8 @@
 from ochrecourse.fleet.log import Refused
 
 if TYPE_CHECKING:
-    from ochrecourse.lab.fleet_play import FleetPlay, FleetSeat
+    from ochrecourse.lab.fleet_instance import FleetSeat
+    from ochrecourse.lab.fleet_play import FleetPlay
 
 NOTES = "notes"  # the channel that worlds write in and read
 EVERY = 1.0  # s between two notes of a gateway, and two looks of a reader
--- a/ochrecourse/lab/fleet_site.py
+++ b/ochrecourse/lab/fleet_site.py
@@ -18,7 +18,9 @@
 from ochrecourse.outside import MS
 
 if TYPE_CHECKING:
-    from ochrecourse.lab.fleet_play import Fault, FleetPlay, FleetSeat
+    from ochrecourse.lab.fleet_instance import FleetSeat
+    from ochrecourse.lab.fleet_play import FleetPlay
+    from ochrecourse.lab.fleet_world import Fault
 
 SITE, RULE = "school", "close"
 CHANNELS = (f"calendar/{SITE}", f"purges/{SITE}")
--- a/ochrecourse/lab/fleet_told.py
+++ b/ochrecourse/lab/fleet_told.py
@@ -12,7 +12,10 @@
 from ochrecourse.audit import records as r
 from ochrecourse.fleet.standing import CHANNEL
 from ochrecourse.lab.day import volumes
-from ochrecourse.lab.fleet_play import BIN, Fault, FleetPlay
+from ochrecourse.lab.fleet_checks import BIN
+from ochrecourse.lab.fleet_faults import Faults
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault
 from ochrecourse.outside import SECOND
 
 LOSSES = ("zone_lost", "zone_nodes")
@@ -21,26 +24,26 @@
 SPAN = 2.0  # s over which full service is looked at
 
 
-class ToldPlay(FleetPlay):
-    """A world whose gateways share nothing, and whose bounds are set by the world's truth."""
+class ToldFaults(Faults):
+    """Tells the gateways of a zone's loss and of its return."""
 
     def _strike(self, fault: Fault) -> None:
         super()._strike(fault)
         if fault.kind in LOSSES:
-            inside = [number for number, node in self.fleet.nodes.items() if node.shard.zone == fault.zone]
+            inside = [each for each, node in self.play.fleet.nodes.items() if node.shard.zone == fault.zone]
             self._tell({node: {} for node in inside})
-            back, cold = fault.len_s + MOMENT, max(kind.cold_ms for kind in self.day.kinds) / 1000
+            back, cold = fault.len_s + MOMENT, max(kind.cold_ms for kind in self.play.day.kinds) / 1000
             self.network.callLater(back, self._tell, {node: self._parts(node) for node in inside})
             self.network.callLater(back + cold, self._tell, {})
 
     def _parts(self, node: int) -> dict[int, float]:
         """By gateway, units a second that it may begin at a cold node: as its volumes will ask for."""
         asked: dict[int, float] = defaultdict(float)
-        for volume in volumes(self.day):
-            if self.fleet.nodes[node].shard.number in volume.shards:
+        for volume in volumes(self.play.day):
+            if self.play.fleet.nodes[node].shard.number in volume.shards:
                 for host in volume.hosts:
                     asked[host] += volume.rate / len(volume.shards) / len(volume.hosts)
-        whole, cold = sum(asked.values()), self.rates()["cold"]
+        whole, cold = sum(asked.values()), self.play.rates()["cold"]
         return {host: cold * each / whole for host, each in asked.items()}
 
     def _tell(self, parts: dict[int, dict[int, float]]) -> None:
@@ -50,6 +53,12 @@
                 seat.daemon.gateway.bounds_came(bounds)
 
 
+class ToldPlay(FleetPlay):
+    """A world whose gateways share nothing, and whose bounds are set by the world's truth."""
+
+    faults_kind = ToldFaults
+
+
 def least_full_s(play: FleetPlay) -> float:
     """s from a zone's return to full service that the limits at cold nodes allow at the least: at once, or
     once nodes are warm, and the span over which it is looked at."""
@@ -89,7 +98,7 @@
 
 
 def figures(play: FleetPlay, one_standing_s: float) -> dict[str, float]:
-    """Of the first zone that is lost; beside fleet_play.judge's."""
+    """Of the first zone that is lost; beside fleet_judge.judge's."""
     fault = next((each for each in play.world.faults if each.kind in LOSSES), None)
     if fault is None:
         return {}
--- a/ochrecourse/lab/search.py
+++ b/ochrecourse/lab/search.py
@@ -15,7 +15,9 @@
 
 import msgspec
 
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, Judged, World, judge
+from ochrecourse.lab.fleet_judge import Judged, judge
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault, World
 
 KINDS = (
     "zone_lost", "zone_nodes", "zone_cut", "zone_slow", "apart", "gateways_cut", "one_way", "lossy", "kill",
--- a/ochrecourse/lab/worse_capacity_play.py
+++ b/ochrecourse/lab/worse_capacity_play.py
@@ -15,7 +15,10 @@
 from ochrecourse.audit.together import Seen
 from ochrecourse.lab.day import Day
 from ochrecourse.lab.figures import figures_of
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, FleetSeat, World
+from ochrecourse.lab.fleet_faults import Faults
+from ochrecourse.lab.fleet_instance import FleetSeat
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault, World
 from ochrecourse.lab.together import BEGINS, FIGURES, GATEWAYS, TRAVEL, came, together
 from ochrecourse.outside import MS, now_ns
 
@@ -49,11 +52,17 @@
     )
 
 
+class CapacityFaults(Faults):
+    """A zone that is lost loses its nodes; its gateways go on, as in the day of processes."""
+
+    _zone_lost = Faults._of_nodes
+
+
 class CapacityPlay(FleetPlay):
-    """One run. A zone that is lost loses its nodes; its gateways go on, as in the day of processes."""
+    """One run."""
 
+    faults_kind = CapacityFaults
     day_of = staticmethod(day_of)
-    _zone_lost = FleetPlay._of_nodes
 
     def __init__(self, seed: int = 1, gateways: int = GATEWAYS) -> None:
         super().__init__(world_of(seed, gateways))
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -9,8 +9,10 @@
 from ochrecourse.fleet.zones import Zones
 from ochrecourse.lab import mistakes
 from ochrecourse.lab.day import BadDay, check
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, World, day_of, judge
+from ochrecourse.lab.fleet_judge import judge
+from ochrecourse.lab.fleet_play import FleetPlay
 from ochrecourse.lab.fleet_told import ToldPlay, figures
+from ochrecourse.lab.fleet_world import Fault, World, day_of
 from ochrecourse.lab.worse_capacity_play import CapacityPlay, judged
 from ochrecourse.outside import SECOND
 
--- a/tests/test_fleet_grey.py
+++ b/tests/test_fleet_grey.py
@@ -18,8 +18,11 @@
 from ochrecourse.fleet.zonewatch import ZoneWatch
 from ochrecourse.gateway.ledger import JobStory, Ledger
 from ochrecourse.interface import Ending, Health, NodeEntry
-from ochrecourse.lab.fleet_play import EQUAL, Fault, FleetPlay, judge
-from ochrecourse.lab.fleet_play import World as Drawn
+from ochrecourse.lab.fleet_checks import EQUAL
+from ochrecourse.lab.fleet_judge import judge
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault
+from ochrecourse.lab.fleet_world import World as Drawn
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.outside import MS, SECOND, now_ns
 
--- a/tests/test_fleet_world.py
+++ b/tests/test_fleet_world.py
@@ -8,7 +8,9 @@
 
 from ochrecourse.audit import records as r
 from ochrecourse.lab import search
-from ochrecourse.lab.fleet_play import Fault, FleetPlay, World, judge
+from ochrecourse.lab.fleet_judge import judge
+from ochrecourse.lab.fleet_play import FleetPlay
+from ochrecourse.lab.fleet_world import Fault, World
 from ochrecourse.lab.mistakes import made
 from ochrecourse.lab.virtual import VirtualNetwork, Way
 
