A link of the fleet in seven modules, one job each; wire and records the same byte for byte

Change: messages (frames, limits, encoding, `BadPeer`), shared (`Common`), link_state (the other side, frames that go to it), heartbeats (rows), anti_entropy (entries a peer lacks), snapshot_transfer, and exchange, which greets, checks, numbers and orders them. `Exchange` has these as parts; its public attributes stay, those that moved are read through properties. Tests import from the new places and read the internals that moved where they are now; the mistake `Believes` overrides the part instead of the link. No assertion changed otherwise.

--- a/benchmarks/lives.py
+++ b/benchmarks/lives.py
@@ -18,11 +18,12 @@
 
 from ochrecourse.durable.journal import InMemory
 from ochrecourse.fleet.entries import Entry, Stamp
-from ochrecourse.fleet.exchange import Common, Exchange
+from ochrecourse.fleet.exchange import Exchange
 from ochrecourse.fleet.frontier import CHANNEL, PART, Frontier
 from ochrecourse.fleet.kept import Kept
 from ochrecourse.fleet.log import Bounds
 from ochrecourse.fleet.members import Members
+from ochrecourse.fleet.shared import Common
 from ochrecourse.fleet.views import Admit, Admitted
 from ochrecourse.outside import MS, SECOND
 
--- a/ochrecourse/fleet/link.py
+++ b/ochrecourse/fleet/link.py
@@ -1,7 +1,8 @@
 """One connection between two gateways: header lines and bodies, bounded in size and in time.
 
-What a frame means is said in exchange.py. This module hands on whole frames, sends what the exchange has
-while the transport takes it, and ends the connection with one sentence for the mistake that ended it.
+What a frame means is said in messages.py and exchange.py. This module hands on whole frames, sends what the
+exchange has while the transport takes it, and ends the connection with one sentence for the mistake that
+ended it.
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 from zope.interface import implementer
 
 from ochrecourse.fleet.entries import Entry
-from ochrecourse.fleet.exchange import LONGEST_HEADER, SLOW, BadPeer, Exchange
+from ochrecourse.fleet.exchange import Exchange
+from ochrecourse.fleet.messages import LONGEST_HEADER, SLOW, BadPeer
 from ochrecourse.outside import Clock, Timer, now_ns, stop
 
 MESSAGE_TIME = 5.0  # s in which a begun frame must be whole; a slow sender holds nothing up
--- a/ochrecourse/fleet/part.py
+++ b/ochrecourse/fleet/part.py
@@ -18,7 +18,7 @@
 from ochrecourse.durable.journal import Journal
 from ochrecourse.fleet.channel import ORDINARY, Told
 from ochrecourse.fleet.entries import Entry, Row, Stamp
-from ochrecourse.fleet.exchange import FORM, RESTLESS, SLOW, BadPeer, Common, Exchange, Hello
+from ochrecourse.fleet.exchange import Exchange
 from ochrecourse.fleet.forms import FIRST, NEWEST, Forms, Raise
 from ochrecourse.fleet.frontier import CHANNEL, PART, Frontier
 from ochrecourse.fleet.kept import Kept
@@ -26,6 +26,8 @@
 from ochrecourse.fleet.log import Bounds, Holes, Refused, Snapshot
 from ochrecourse.fleet.members import Members
 from ochrecourse.fleet.mesh import Mesh
+from ochrecourse.fleet.messages import FORM, RESTLESS, SLOW, BadPeer, Hello
+from ochrecourse.fleet.shared import Common
 from ochrecourse.fleet.terms import Terms
 from ochrecourse.fleet.zones import Zones
 from ochrecourse.fleet.zonewatch import ZoneWatch
--- a/tests/test_fleet_absence.py
+++ b/tests/test_fleet_absence.py
@@ -10,15 +10,18 @@
 from test_fleet_part import Fleet
 
 from ochrecourse.durable.journal import InFile, InMemory
+from ochrecourse.fleet import anti_entropy, snapshot_transfer
 from ochrecourse.fleet import channel as channel_module
-from ochrecourse.fleet import exchange as exchange_module
 from ochrecourse.fleet import kept as kept_module
+from ochrecourse.fleet.anti_entropy import LEAST, AntiEntropy
 from ochrecourse.fleet.channel import Channel
 from ochrecourse.fleet.entries import Entry, Stamp
-from ochrecourse.fleet.exchange import EAGER, LEAST, SLICE, BadPeer, Exchange
+from ochrecourse.fleet.exchange import Exchange
 from ochrecourse.fleet.frontier import CHANNEL
 from ochrecourse.fleet.kept import Kept
 from ochrecourse.fleet.log import Bounds, Holes, Refused
+from ochrecourse.fleet.messages import BadPeer
+from ochrecourse.fleet.shared import EAGER, SLICE
 from ochrecourse.fleet.streams import Chain
 from ochrecourse.outside import MS, SECOND
 
@@ -83,16 +86,22 @@
     assert a.log.vector() == b.log.vector()
 
 
-class Believes(Exchange):
-    """A mistake on purpose: takes an early event for all that stands before it."""
-
+class BelievingAntiEntropy(AntiEntropy):
     def _early_to_send(self):
         data = super()._early_to_send()
         for entry in self.common.newest if data else ():
-            self._there[entry.stream] = max(entry.seq, self._there.get(entry.stream, 0))
+            self.there[entry.stream] = max(entry.seq, self.there.get(entry.stream, 0))
         return data
 
 
+class Believes(Exchange):
+    """A mistake on purpose: takes an early event for all that stands before it."""
+
+    def __init__(self, common, peer, now):
+        super().__init__(common, peer, now)
+        self.entries = BelievingAntiEntropy(self.state, self.heartbeats.no_more)
+
+
 def test_a_decision_goes_before_the_backlog_and_is_handed_on():
     a, b, c = Away("a"), Away("b"), Away("c")
     a.fill(3000)
@@ -141,7 +150,7 @@
                 delays.append(now - sent.pop(beat))
         while (data := pair[1].next(now)) is not None:
             hand(pair[0], data, now)
-    assert LEAST <= pair[0]._window < SLICE
+    assert LEAST <= pair[0].entries._window < SLICE
     assert max(delays[8:]) <= 2 * BEAT
     assert a.log.vector() == b.log.vector()
 
@@ -154,7 +163,7 @@
 
     def __init__(self, common, peer, now, **more):
         super().__init__(common, peer, now, **more)
-        self._coming = Mixes.parts.setdefault(common.members.name, [])
+        self.entries.snapshots._coming = Mixes.parts.setdefault(common.members.name, [])
 
     parts: dict
 
@@ -263,7 +272,8 @@
 @pytest.fixture
 def short(monkeypatch):
     """Short slices: a few entries, and several pieces a snapshot."""
-    monkeypatch.setattr(exchange_module, "SLICE", 256)
+    monkeypatch.setattr(anti_entropy, "SLICE", 256)
+    monkeypatch.setattr(snapshot_transfer, "SLICE", 256)
 
 
 @settings(
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -9,22 +9,13 @@
 
 from ochrecourse.durable.journal import InMemory
 from ochrecourse.fleet.entries import Entry, Row, Stamp
-from ochrecourse.fleet.exchange import (
-    BURST,
-    FRAMES,
-    LONGEST_BODY,
-    BadPeer,
-    Common,
-    Entries,
-    Exchange,
-    Hello,
-    Rows,
-    frame,
-)
+from ochrecourse.fleet.exchange import BURST, FRAMES, Exchange
 from ochrecourse.fleet.kept import Kept
 from ochrecourse.fleet.log import Bounds
 from ochrecourse.fleet.members import Members
 from ochrecourse.fleet.mesh import ALL, FIRST_REST, Mesh
+from ochrecourse.fleet.messages import LONGEST_BODY, BadPeer, Entries, Hello, Rows, frame
+from ochrecourse.fleet.shared import Common
 from ochrecourse.outside import MS, SECOND
 
 WALL = 1_700_000_000_000  # ms since 1970
@@ -153,7 +144,7 @@
             end.turn(beat * BEAT)
             talk(pairs, beat * BEAT)
     assert d.members.rows["a"].beat >= 6
-    assert {len([x for x in d.links if "a" in x._said_enough])} == {1}
+    assert {len([x for x in d.links if "a" in x.heartbeats._said_enough])} == {1}
     source = d.common.source["a"]
     lost = bd if bd[1] is source else cd
     pairs.remove(lost)
@@ -179,7 +170,7 @@
         a.turn(beat * BEAT)
         b.turn(beat * BEAT)
         talk([pair], beat * BEAT)
-    pair[0]._no_more.add("a")  # as if b got the news of a from somebody who then fell silent
+    pair[0].heartbeats.no_more.add("a")  # as if b got the news of a from somebody who then fell silent
     a.append(7)
     assert "entries" not in kinds(talk([pair], 2 * BEAT))
     for beat in (3, 4, 5, 6):
@@ -199,7 +190,7 @@
     talk([(link, b.link())], most=3)
     while link.next(0) is not None:  # nothing is acknowledged any more
         pass
-    assert sum(link._out.values()) <= 10
+    assert sum(link.entries._out.values()) <= 10
 
 
 def test_an_entry_that_could_not_be_taken_is_sent_again_later():
@@ -376,9 +367,9 @@
 
     def next(self, now):
         key = (self.common.members.name, self.peer)
-        self._there.update(Forgets.remembered.get(key, {}))
+        self.entries.there.update(Forgets.remembered.get(key, {}))
         data = super().next(now)
-        Forgets.remembered[key] = dict(self._there)
+        Forgets.remembered[key] = dict(self.entries.there)
         return data
 
 
--- a/tests/test_fleet_forms.py
+++ b/tests/test_fleet_forms.py
@@ -15,12 +15,14 @@
 from ochrecourse.durable.sole import Sole
 from ochrecourse.fleet import forms
 from ochrecourse.fleet.entries import Entry, Row, Stamp
-from ochrecourse.fleet.exchange import BadPeer, Common, Entries, Exchange, Hello, frame
+from ochrecourse.fleet.exchange import Exchange
 from ochrecourse.fleet.forms import NEWEST, Forms, Span
 from ochrecourse.fleet.kept import Kept
 from ochrecourse.fleet.log import Bounds, Refused
 from ochrecourse.fleet.members import Members
+from ochrecourse.fleet.messages import BadPeer, Entries, Hello, frame
 from ochrecourse.fleet.part import CHANNEL, JOURNAL, Part
+from ochrecourse.fleet.shared import Common
 from ochrecourse.outside import SECOND
 from ochrecourse.settings.load import resolve
 
--- a/tests/test_fleet_grey.py
+++ b/tests/test_fleet_grey.py
@@ -10,7 +10,7 @@
 from ochrecourse.fleet.awake import Awake
 from ochrecourse.fleet.entries import Entry, Stamp
 from ochrecourse.fleet.evidence import View
-from ochrecourse.fleet.exchange import SLOW, BadPeer, Rows, frame
+from ochrecourse.fleet.messages import SLOW, BadPeer, Rows, frame
 from ochrecourse.fleet.part import Part
 from ochrecourse.fleet.standing import Standing, Standings
 from ochrecourse.fleet.terms import Terms
--- a/tests/test_fleet_part.py
+++ b/tests/test_fleet_part.py
@@ -14,8 +14,8 @@
 from ochrecourse.cli.control import answer
 from ochrecourse.durable.journal import InFile, InMemory
 from ochrecourse.fleet.entries import Entry, Stamp
-from ochrecourse.fleet.exchange import Entries, Hello, Rows, frame
 from ochrecourse.fleet.log import Refused
+from ochrecourse.fleet.messages import Entries, Hello, Rows, frame
 from ochrecourse.fleet.part import JOURNAL, UNNAMED, Part
 from ochrecourse.gateway.daemon import Daemon
 from ochrecourse.fleet.zones import Zones
--- a/tests/transcripts/test_absence.py
+++ b/tests/transcripts/test_absence.py
@@ -5,14 +5,15 @@
 from test_transcripts import fleet_of, tap  # noqa: F401 - the fixture
 from transcript import Approved
 
-from ochrecourse.fleet import exchange
+from ochrecourse.fleet import anti_entropy, shared, snapshot_transfer
 
 
 def test_fleet_decision_goes_before_a_backlog(tap, snapshot, monkeypatch):  # noqa: F811
     """Two gateways were apart, and one wrote much. They meet: some of the backlog, then at once the newest event of
     channel `fleet`, which is of the log only in its turn; the rest at the pace of the settings."""
-    monkeypatch.setattr(exchange, "SLICE", 600)
-    monkeypatch.setattr(exchange, "EAGER", 600)
+    monkeypatch.setattr(anti_entropy, "SLICE", 600)
+    monkeypatch.setattr(snapshot_transfer, "SLICE", 600)
+    monkeypatch.setattr(shared, "EAGER", 600)
     fleet = fleet_of(tap, "ab", log={**SAID["log"], "catch_up": 8192.0})
     fleet.cut("a", "b")
     fleet.run(0.2)
