One edge writes an edition: it has been the first by name for `notice` first

Purges.edition_due let an edge write as soon as `min(self.fresh())` was itself. `fresh` leaves out who is not heard yet and who has not yet been heard to be whole (`not_whole`). On a new site g1 wrote while it held g0 for not whole, and g0, whole by then, wrote 8 ms later, before g1's entry came (both had heard each other). After a restart g1 wrote once g0 was silent for `notice`, and g0, just back, too. Change: the edge must have been the first by name, whole and in touch with more than half for `notice` at a stretch; meanwhile the others hear that it is here and whole, or what they wrote before arrives. Entries and rows are as before; older programs write at once, as they did. It costs `notice` before a new site's first edition. Not promised, as before: an edge cut off just as it writes may find a second writer's edition.

--- a/ochrecourse/fleet/purges.py
+++ b/ochrecourse/fleet/purges.py
@@ -150,6 +150,7 @@
         self.began = wall
         self.heard: dict[str, int] = {}  # ns, when an edge of the own site was last heard
         self.not_whole: dict[str, None] = {}  # of those: that say that their disk is new
+        self.first_since: int | None = None  # ns, since when this edge is the one that writes editions
         self.starts_new = 0  # this life, until its word of a new disk is written; 0 with a disk from before
         self.unlike: dict[str, str] = {}  # edges that name others than this one does, by its digest
         self.clear: dict[Scope, int] = {}  # whatever is held was fetched after this, in ms
@@ -389,16 +390,28 @@
             return done[-1].at, sum(each.dropped for each in done)
         return max(self.began, min(self.wall, due.at)), 0
 
+    def _is_first(self) -> bool:
+        """Whether this edge is whole, knows all that is in force, and is the first by name it heard of."""
+        if self.own is None or not self.clock.believed or not self.whole():
+            return False
+        fresh = self.fresh()
+        return self.own.reached(self.wall + self.bound, self.name, fresh) and min(fresh) == self.name
+
     def edition_due(self, wording: int, ahead: int) -> int | None:
         """The number of an edition that this edge should write now, if any: the settings' own `wording` is
-        newer than what is known, or what they said runs out within `ahead` ms. One edge of those heard
-        writes it.
+        newer than what is known, or what they said runs out within `ahead` ms. Asked at each beat.
+
+        One edge writes it: the first by name of those heard lately that are whole, once it has been that for
+        `notice` at a stretch.
         """
-        if self.own is None or not self.clock.believed or not self.whole():
-            return None
-        if not self.own.reached(self.wall + self.bound, self.name, self.fresh()):
+        if self.own is None or not self._is_first():
+            self.first_since = None
             return None
-        if min(self.fresh()) != self.name:
+        if self.first_since is None:
+            self.first_since = self.now
+        # Guards against two writers: who does not know yet that a lower name is here and whole hears of it
+        # meanwhile, or has written before, and then that arrives there.
+        if self.now - self.first_since < self.notice * MS:
             return None
         highest = self.own.highest()
         if highest is None:
--- a/tests/test_fleet_purges.py
+++ b/tests/test_fleet_purges.py
@@ -5,6 +5,7 @@
 """
 
 import datetime as dt
+import itertools
 import random
 from bisect import insort
 from zoneinfo import ZoneInfo
@@ -1006,7 +1007,7 @@
 	purges: notice: 2s
 }
 sites: [
-	{name: "s", edges: ["g0", "g1", "g2"], zone: "Pacific/Kiritimati", rules: [{name: "close", all: true, at: "18:00", weekdays: ["fri"]}]},
+	{name: "s", edition: %d, edges: ["g0", "g1", "g2"], zone: "Pacific/Kiritimati", rules: [{name: "close", all: true, at: "18:00", weekdays: ["fri"]}]},
 	{name: "t", edges: ["g3"], zone: "Europe/Berlin", rules: [{name: "close", all: true, at: "18:00"}]},
 ]
 """
@@ -1017,8 +1018,10 @@
     the times at which they were made, in ms.
     """
 
-    def __init__(self, make_node, make_wire, shifts=(0, 0, 0, 0)):
+    def __init__(self, make_node, make_wire, shifts=(0, 0, 0, 0), ways=()):
         self.network = VirtualNetwork(3)
+        self.ways(ways)
+        self.edition = 1  # that the settings of the next daemon to start have for site s
         self.make_wire = make_wire
         self.zero = self.network.seconds()
         self.legs = 0
@@ -1038,10 +1041,24 @@
     def ms(self):
         return round((self.network.seconds() - self.zero) * 1000)
 
+    def ways(self, ways):
+        """How the ways between two hosts stand, both alike; the others are whole."""
+        for here, there in list(self.network.ways):
+            self.network.set_way(here, there)
+        for here, there, way in ways:
+            self.network.set_way(here, there, way)
+            self.network.set_way(there, here, way)
+
+    def editions(self, name):
+        """Writer and number of each entry that is an edition of site s, as one of the daemons holds them."""
+        entries = self.daemons[name].part.log.events("calendar/s")
+        bodies = [(entry.writer, msgspec.json.decode(entry.body)) for entry in entries]
+        return [(writer, body["number"]) for writer, body in bodies if body["what"] == "edition"]
+
     def start(self, name):
         number = int(name[1])
         peers = ", ".join(f'{{name: "g{n}", address: "127.0.0.1:{20_000 + n}"}}' for n in range(4) if n != number)
-        text = SAID % (name, 21_000 + number, 20_000 + number, peers, self.shifts[name])
+        text = SAID % (name, 21_000 + number, 20_000 + number, peers, self.shifts[name], self.edition)
         daemon = Daemon(
             resolve(text, "g.cue"), self.network.host(name), [], lambda text: None, lambda: None,
             told=lambda event, **more: self.lines.append((self.ms(), name, event, more)),
@@ -1101,6 +1118,57 @@
         daemon.kill()
 
 
+def crossing(between):
+    """Late ways, on which g0 and g1 hear of g2 before each other, though of all of them within `notice`."""
+    pairs = itertools.combinations(("g0", "g1", "g2", "g3"), 2)
+    ways = dict.fromkeys(pairs, Way(late=(0.25, 0.25)))
+    ways["g0", "g1"] = between
+    return [(*pair, way) for pair, way in ways.items()]
+
+
+CROSSINGS = {"late": crossing(Way(late=(0.45, 0.45))), "apart": crossing(Way(cut=True))}
+
+
+@pytest.mark.parametrize("ways", CROSSINGS.values(), ids=CROSSINGS)
+def test_two_edges_that_begin_at_once_write_one_edition(make_node, make_wire, ways):
+    building = Building(make_node, make_wire, ways=ways)
+    building.until(6000)
+    building.ways([])
+    building.until(10_000)
+    for name in ("g0", "g1", "g2"):
+        assert [number for _, number in building.editions(name)] == [1], building.editions(name)
+        assert building.daemons[name].part.report()["purges"]["sites"]["s"]["edition"] == 1
+    for daemon in building.daemons.values():
+        daemon.kill()
+
+
+# The second starts so long after the first that it becomes the one to write just as the first would: without a
+# wait for who else is here that is `notice` later, with one it is twice that.
+@pytest.mark.parametrize(("disk", "gap"), [("kept", 2000), ("kept", 4000), ("lost", 2000), ("lost", 4000)])
+@pytest.mark.parametrize("ways", CROSSINGS.values(), ids=CROSSINGS)
+def test_two_edges_that_start_again_with_new_settings_write_one_edition(make_node, make_wire, ways, disk, gap):
+    building = Building(make_node, make_wire)
+    building.until(8000)
+    building.stop("g0")
+    building.stop("g1")
+    building.until(11_000)
+    building.ways(ways)
+    building.edition = 2
+    building.start("g1")
+    building.until(11_000 + gap)
+    if disk == "lost":
+        building.disks["g0"] = InMemory()
+    building.start("g0")
+    building.until(20_000)
+    building.ways([])
+    building.until(24_000)
+    for name in ("g0", "g1", "g2"):
+        assert [number for _, number in building.editions(name)] == [1, 2], building.editions(name)
+        assert building.daemons[name].part.report()["purges"]["sites"]["s"]["edition"] == 2
+    for daemon in building.daemons.values():
+        daemon.kill()
+
+
 def test_three_daemons_close_together(make_node, make_wire):
     """One has a clock ahead, one behind; one stands still over the close, one is killed after it."""
     building = Building(make_node, make_wire, (0, 190, -190, 0))
