Test of clients: a mistake made on purpose reaches the attempt by its new name

Cause: test_client_machine's mistake leaves_only_what_was_sent_on read `_Task.leg`, which is `attempt` since the nodes' side was renamed: in a whole run (2,808 passed) it was the one failure, an AttributeError where a broken rule is wanted. Change: the name. Result: test_client_machine 8 passed; the overrides and patches of all other tests were read for old names.

--- a/tests/test_client_machine.py
+++ b/tests/test_client_machine.py
@@ -378,7 +378,7 @@
 def leaves_only_what_was_sent_on(monkeypatch):
     whole = Gateway.leave_all
     monkeypatch.setattr(
-        Gateway, "leave_all", lambda self, jobs: whole(self, [job for job in jobs if self.tasks[job].leg is not None])
+        Gateway, "leave_all", lambda self, jobs: whole(self, [job for job in jobs if self.tasks[job].attempt is not None])
     )
 
 
