Tests of what a dispatcher holds back until unread ends are known

Cause: of the mend of attempts that wait for a connection only one way was tested; taking out the turns of `_relieve_after`, or the rule that a connection which closes before is a dial that failed, broke no test. Change: four tests with a dispatcher two turns behind: opened, given up, closed, left by another.

--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -366,3 +366,56 @@
     assert volume.unwritten == 0.0
     volume.refill(rested + 30 * SECOND)
     assert volume.store == pytest.approx(20.0)
+
+
+# --- attempts that wait for a connection, after a long turn of the loop ---
+
+
+class Behind(Street):
+    """A dispatcher two turns before all that stands unread is known."""
+
+    def __init__(self):
+        super().__init__()
+        self.dispatcher.turns_behind = lambda: 2
+
+
+def test_a_connection_that_opens_after_a_long_turn_takes_its_attempts_when_all_is_read():
+    street = Behind()
+    street.send(1)
+    street.came(street.dialled[0])
+    assert street.wires[street.dialled[0].number].sent == []
+    street.network.advance(0)
+    assert street.wires[street.dialled[0].number].sent == [1]
+
+
+def test_an_attempt_that_is_given_up_before_all_is_read_is_not_written():
+    """Guards against the client whose end stands unread behind the connection that it waits for."""
+    street = Behind()
+    attempt = street.send(1)
+    street.came(street.dialled[0])
+    street.dispatcher.cancel(attempt)
+    street.network.advance(0)
+    assert street.wires[street.dialled[0].number].sent == [] and street.ends == [(1, Seen.LEFT_BEFORE)]
+
+
+def test_a_connection_that_closes_before_all_is_read_is_a_dial_that_failed():
+    """Guards against attempts that wait for ever for a connection which opened and closed unseen."""
+    street = Behind()
+    street.send(1)
+    street.came(street.dialled[0])
+    street.dispatcher.connection_closed(street.wires[street.dialled[0].number], [], Close.BETWEEN)
+    street.network.advance(0)
+    assert street.ends == [(1, Seen.REFUSED)] and not street.dispatcher.out and not street.dispatcher.dials
+
+
+def test_a_connection_that_is_left_after_a_long_turn_takes_what_waits_when_all_is_read():
+    street = Street()
+    first = street.send(1)
+    street.came(street.dialled[0])
+    street.send(2)
+    wire = street.wires[street.dialled[0].number]
+    street.dispatcher.turns_behind = lambda: 2
+    street.answer(first)
+    assert wire.sent == [1]
+    street.network.advance(0)
+    assert wire.sent == [1, 2]
