--- a/ochrecourse/cli/alike.py
+++ b/ochrecourse/cli/alike.py
@@ -103,5 +103,4 @@
             shutil.rmtree(folder, ignore_errors=True)
 
     def _spawn(self, protocol: Any, words: list[str]) -> Any:
-        command = [sys.executable, "-m", "ochrecourse", *words]
-        return self.reactor.spawnProcess(protocol, sys.executable, command, env=None)
+        return protocol.start(self.reactor, words)
--- a/ochrecourse/lab/real.py
+++ b/ochrecourse/lab/real.py
@@ -25,7 +25,9 @@
 
 
 class Child(ProcessProtocol):
-    """One process: its lines of output, and its end."""
+    """One process: its lines of output, and its end. It writes its log itself: a disk that is slow holds up
+    whoever writes to it, and that would be the loop of the clients and of the ways between gateways.
+    """
 
     def __init__(
         self, log: Path, line: Callable[[str], None], ended: Callable[[Child, int | None], None]
@@ -40,11 +42,15 @@
         for line in lines:
             self.line(line.decode("utf-8", "replace"))
 
-    def errReceived(self, data: bytes) -> None:
-        self.log.write(data)
+    def start(self, reactor: Any, words: list[str]) -> Any:
+        """Starts it with these words of the command line; returns Twisted's process."""
+        with self.log:
+            return reactor.spawnProcess(
+                self, sys.executable, [sys.executable, "-m", "ochrecourse", *words],
+                env=None, childFDs={0: "w", 1: "r", 2: self.log.fileno()},
+            )  # fmt: skip
 
     def processEnded(self, reason: Any) -> None:
-        self.log.close()
         self.ended(self, reason.value.exitCode)
 
 
@@ -161,9 +167,7 @@
         self.loop_watch.start()
 
     def spawn(self, child: Child, words: list[str]) -> Any:
-        return self.reactor.spawnProcess(
-            child, sys.executable, [sys.executable, "-m", "ochrecourse", *words], env=None
-        )  # fmt: skip
+        return child.start(self.reactor, words)
 
     def fail(self, text: str) -> None:
         self.troubles.append(text)
--- a/ochrecourse/lab/together_play.py
+++ b/ochrecourse/lab/together_play.py
@@ -188,6 +188,7 @@
         for left in self.state.glob("*.log"):
             left.unlink()  # journals of a run before would be read as this one's
         self.kept = r.ToFile(folder / "seen.jsonl")
+        self.reports: dict[str, dict[str, Any]] = {}  # each gateway's last one
         self.load.steer = self._steer
         self.ended = False
         self.began = 0  # ms since 1970
@@ -338,7 +339,7 @@
 
     def _seen(self, place: Gate, answer: dict[str, Any] | None) -> None:
         if answer is not None and "error" not in answer:
-            (self.folder / f"{place.name}.json").write_text(json.dumps(answer, indent=1))
+            self.reports[place.name] = answer
             zones = answer.get("zones", {}).get("zones", {})
             purges = answer.get("purges", {})
             self.kept(
@@ -495,6 +496,10 @@
         self.breaker.close()
 
     def _nodes_ended(self, child: Any, code: int | None) -> None:
+        # Not before: a file that is replaced on a busy disk holds this loop up, and with it the ways between
+        # gateways.
+        for name, report in self.reports.items():
+            (self.folder / f"{name}.json").write_text(json.dumps(report, indent=1))
         self.kept.close()
         super()._nodes_ended(child, code)
 
