--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -33,9 +33,9 @@
 Got = TypeVar("Got")
 
 
-def look(seed: int, gateways: int, nodes: int) -> tuple[int, list[str], list[str]]:
+def look(seed: int, gateways: int, nodes: int, slow_disks: bool) -> tuple[int, list[str], list[str]]:
     """How a seed's world breaks, and the words of it."""
-    return seed, *found(draw(seed, gateways, nodes))
+    return seed, *found(draw(seed, gateways, nodes, slow_disks=slow_disks))
 
 
 def smallest(world: World, kind: str) -> World:
@@ -47,7 +47,7 @@
     began = time.process_time()
     with made(name):
         for seed in seeds:
-            for kind in found(draw(seed))[0]:
+            for kind in found(draw(seed, slow_disks=MISTAKES[name].slow_disks))[0]:
                 if kind in MISTAKES[name].shown:
                     return seed, kind, time.process_time() - began
     return 0, "", time.process_time() - began
@@ -89,10 +89,11 @@
 @click.option("--workers", default=4)
 @click.option("--shrinks", default=3, help="Worlds of each way to break that are shrunk.")
 @click.option("--world", default="", help="Replays this one.")
+@click.option("--slow-disks", is_flag=True, help="Operations on journals take a drawn time.")
 @click.option("--mistakes", is_flag=True, help="Looks for mistakes made on purpose instead.")
 def main(
     seeds: int, minutes: float, first: int, gateways: int, nodes: int, workers: int, shrinks: int, world: str,
-    mistakes: bool,
+    slow_disks: bool, mistakes: bool,
 ) -> None:  # fmt: skip
     if world:
         kinds, lines = found(msgspec.json.decode(world, type=World))
@@ -106,7 +107,7 @@
     broken: list[tuple[int, list[str], list[str]]] = []
     counts: Counter[str] = Counter()
     with ProcessPoolExecutor(workers) as pool:
-        one = partial(look, gateways=gateways, nodes=nodes)
+        one = partial(look, gateways=gateways, nodes=nodes, slow_disks=slow_disks)
         numbers = count(first) if minutes and seeds <= 0 else range(first, first + seeds)
         end = began + 60 * minutes if minutes else float("inf")
         for seed, kinds, lines in in_order(pool, one, numbers, workers, end):
@@ -124,7 +125,7 @@
             kind = kinds[0]
             counts[kind] += 1
             if counts[kind] <= shrinks:
-                drawn = draw(seed, gateways, nodes)
+                drawn = draw(seed, gateways, nodes, slow_disks=slow_disks)
                 todo.append((seed, kind, pool.submit(smallest, drawn, kind)))
         for seed, kind, least in todo:
             faults, left, length = size(least.result())
--- a/ochrecourse/cli/control_answers.py
+++ b/ochrecourse/cli/control_answers.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ochrecourse.cli.control_requests import Answer, ControlError, ControlRequest
-from ochrecourse.cli.fleet_answers import FLEET_COMMANDS, answer_fleet_command
+from ochrecourse.cli.fleet_answers import FLEET_COMMANDS, OnAnswer, answer_fleet_command
 
 
 def parse_request(line: bytes) -> ControlRequest | None:
@@ -27,24 +27,32 @@
 
 
 def answer(daemon: Any, line: bytes) -> Answer:
-    """Carries out the command in a line and answers it; never raises ControlError."""
+    """Carries out a command that waits for nothing, and answers it; never raises ControlError."""
+    answers: list[Answer] = []
+    respond(daemon, line, answers.append)
+    return answers[0]
+
+
+def respond(daemon: Any, line: bytes, on_answer: OnAnswer) -> None:
+    """Carries out the command in a line; `on_answer` gets its one answer, possibly before this returns."""
     try:
-        return _answer(daemon, parse_request(line))
+        _respond(daemon, parse_request(line), on_answer)
     except ControlError as error:
-        return {"error": str(error)}
+        on_answer({"error": str(error)})
 
 
-def _answer(daemon: Any, request: ControlRequest | None) -> Answer:
+def _respond(daemon: Any, request: ControlRequest | None, on_answer: OnAnswer) -> None:
     if request is None:
         raise ControlError(
             'a line is {"do": "show"}, drain, undrain, members, accept, or a word of the fleet'
         )
     if request.command in FLEET_COMMANDS:
-        return answer_fleet_command(daemon.fleet_member, request)
-    if request.command in GATEWAY_COMMANDS:
-        return GATEWAY_COMMANDS[request.command](daemon)
-    commands = ", ".join((*GATEWAY_COMMANDS, *FLEET_COMMANDS))
-    raise ControlError(f"nothing is done for {request.command!r}; there are {commands}")
+        answer_fleet_command(daemon.fleet_member, request, on_answer)
+    elif request.command in GATEWAY_COMMANDS:
+        on_answer(GATEWAY_COMMANDS[request.command](daemon))
+    else:
+        commands = ", ".join((*GATEWAY_COMMANDS, *FLEET_COMMANDS))
+        raise ControlError(f"nothing is done for {request.command!r}; there are {commands}")
 
 
 def _bgp_speaker(daemon: Any) -> Any:
--- a/ochrecourse/cli/control_server.py
+++ b/ochrecourse/cli/control_server.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +17,7 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import LineReceiver
 
-from ochrecourse.cli.control_answers import answer, parse_request
+from ochrecourse.cli.control_answers import parse_request, respond
 from ochrecourse.cli.control_requests import Answer
 from ochrecourse.cli.handover import HandoverRequest, ListeningSockets
 from ochrecourse.gateway.socket_handover import Handover, HandoverStep
@@ -42,7 +43,20 @@
     transport: Any
     factory: Any  # the ControlServer
 
+    def __init__(self) -> None:
+        self._is_answering = False
+        self._waiting_lines: deque[bytes] = deque()  # behind the one that is being answered
+        self._is_lost = False
+
     def lineReceived(self, line: bytes) -> None:
+        """Answers a line once those before it are answered, which may have to wait for the disk."""
+        if self._is_answering:
+            self._waiting_lines.append(line)
+            self.pauseProducing()  # type: ignore[no-untyped-call]
+            return
+        self._answer(line)
+
+    def _answer(self, line: bytes) -> None:
         """Answers a command, or a step of a handover."""
         request = parse_request(line)
         command = request.command if request is not None else ""
@@ -53,10 +67,22 @@
         elif command == HandoverRequest.ACCEPTS:
             self.factory.successor_accepts(self)
         else:
-            self.send(answer(self.factory.daemon, line))
+            self._is_answering = True
+            respond(self.factory.daemon, line, self._answered)
+
+    def _answered(self, message: Answer) -> None:
+        self._is_answering = False
+        if self._is_lost:
+            return
+        self.send(message)
+        while self._waiting_lines and not self._is_answering:
+            self._answer(self._waiting_lines.popleft())
+        if self.paused and not self._is_answering:
+            self.resumeProducing()  # type: ignore[no-untyped-call]
 
     def connectionLost(self, reason: Any = None) -> None:
         """The client closed the connection or ended."""
+        self._is_lost = True
         self.factory.connection_lost(self)
 
     def send(self, message: Answer) -> None:
@@ -93,8 +119,7 @@
             connection.send({"error": NOT_HANDED_OVER})
             return
         self.sockets.retain("fleet")
-        self.daemon.release_fleet()
-        connection.send({"released": True})
+        self.daemon.release_fleet(lambda: connection.send({"released": True}))
 
     def successor_accepts(self, connection: ControlConnection) -> None:
         """Stops accepting, and finishes what is in flight."""
--- a/ochrecourse/cli/fleet_answers.py
+++ b/ochrecourse/cli/fleet_answers.py
@@ -11,15 +11,37 @@
 
 from ochrecourse.cli.control_requests import Answer, ControlError, ControlRequest
 
+OnAnswer = Callable[[Answer], None]
+FleetCommand = Callable[[Any, ControlRequest, OnAnswer], None]
+
 DEFAULT_READ_ENTRIES = 100
 MAX_READ_ENTRIES = 10_000
 
 
-def answer_fleet_command(member: Any, request: ControlRequest) -> Answer:
-    """Carries out one of FLEET_COMMANDS; `member` is None without a fleet. Raises ControlError."""
+def answer_fleet_command(member: Any, request: ControlRequest, on_answer: OnAnswer) -> None:
+    """Carries out one of FLEET_COMMANDS; an append is answered once it is on disk. `member` is None without
+    a fleet. Raises ControlError.
+    """
     if member is None:
         raise ControlError("this gateway's settings have no part fleet, or it is just handed over")
-    return FLEET_COMMANDS[request.command](member, request)
+    FLEET_COMMANDS[request.command](member, request, on_answer)
+
+
+def _answer_at_once(command: Callable[[Any, ControlRequest], Answer]) -> FleetCommand:
+    """A command that waits for nothing."""
+    return lambda member, request, on_answer: on_answer(command(member, request))
+
+
+def _answer_append(on_answer: OnAnswer, fields: tuple[str, ...] = ("writer", "seq")) -> Callable[[Any], None]:
+    """Answers what became of an append (`fleet.kept.AppendResult`) with these fields of its entry."""
+
+    def answer(result: Any) -> None:
+        if result.error is not None:
+            on_answer({"error": str(result.error)})
+        else:
+            on_answer({"done": True, **{field: getattr(result.entry, field) for field in fields}})
+
+    return answer
 
 
 @contextlib.contextmanager
@@ -45,19 +67,13 @@
     return report
 
 
-def _append(member: Any, request: ControlRequest) -> Answer:
+def _append(member: Any, request: ControlRequest, on_answer: OnAnswer) -> None:
     channel = _channel(request)
     if "value" not in request.arguments:
         raise ControlError("append names no value")
+    on_result = _answer_append(on_answer, ("writer", "life", "seq", "at"))
     with _rejections_reported():
-        entry = member.append(channel, request.arguments["value"])
-    return {
-        "done": True,
-        "writer": entry.writer,
-        "life": entry.life,
-        "seq": entry.seq,
-        "at": list(entry.at),
-    }
+        member.request_append(channel, request.arguments["value"], on_result)
 
 
 def _read(member: Any, request: ControlRequest) -> Answer:
@@ -96,7 +112,7 @@
     return {"channel": channel, "dump": member.dump(channel).decode()}
 
 
-def _zone(member: Any, request: ControlRequest) -> Answer:
+def _zone(member: Any, request: ControlRequest, on_answer: OnAnswer) -> None:
     """An operator evacuates a zone, for all gateways that this one reaches, or takes it back."""
     zone = request.arguments.get("zone")
     order = None
@@ -105,41 +121,40 @@
     if order is None:
         raise ControlError('zone takes a number of a zone and the standing "left", "returning" or "in"')
     with _rejections_reported():
-        entry = member.append(*order)
-    return {"done": True, "writer": entry.writer, "seq": entry.seq}
+        member.request_append(*order, _answer_append(on_answer))
 
 
-def _give_up(member: Any, request: ControlRequest) -> Answer:
+def _give_up(member: Any, request: ControlRequest, on_answer: OnAnswer) -> None:
     """An operator declares that a gateway does not come back, so that the fleet does not wait for it."""
     name = request.arguments.get("name")
     if not isinstance(name, str):
         raise ControlError("give up takes the name of a gateway")
     with _rejections_reported():
-        entry = member.give_up(name)
-    return {"done": True, "writer": entry.writer, "seq": entry.seq}
+        member.give_up(name, _answer_append(on_answer))
 
 
-def _form(member: Any, request: ControlRequest) -> Answer:
+def _form(member: Any, request: ControlRequest, on_answer: OnAnswer) -> None:
     """Which form is in force and what prevents the next; or, with `form`, an operator raises it."""
     if "form" not in request.arguments:
         report: Answer = member.forms.report()
         newest = report["speaks"][1]
-        return {**report, "waits": member.form_waits(newest) if newest > report["in_force"] else ""}
+        waits = member.form_waits(newest) if newest > report["in_force"] else ""
+        on_answer({**report, "waits": waits})
+        return
     form = request.arguments["form"]
     if type(form) is not int:
         raise ControlError("form takes a whole number")
     with _rejections_reported():
-        entry = member.raise_form(form)
-    return {"done": True, "writer": entry.writer, "seq": entry.seq}
+        member.raise_form(form, _answer_append(on_answer))
 
 
 # In the order in which an answer to an unknown command names them.
-FLEET_COMMANDS: dict[str, Callable[[Any, ControlRequest], Answer]] = {
-    "fleet": _report,
+FLEET_COMMANDS: dict[str, FleetCommand] = {
+    "fleet": _answer_at_once(_report),
     "append": _append,
-    "read": _read,
-    "compact": _compact,
-    "dump": _dump,
+    "read": _answer_at_once(_read),
+    "compact": _answer_at_once(_compact),
+    "dump": _answer_at_once(_dump),
     "zone": _zone,
     "give up": _give_up,
     "form": _form,
--- a/ochrecourse/cli/gateway_process.py
+++ b/ochrecourse/cli/gateway_process.py
@@ -32,6 +32,7 @@
 from ochrecourse.settings.load import SettingsError, load
 from ochrecourse.storage.journal import JournalError
 from ochrecourse.storage.process_lock import ProcessLock, StateLockedError
+from ochrecourse.storage.disk_thread import ThreadWorker
 from ochrecourse.webdav.kept import Unreadable
 
 EXIT_OK = 0
@@ -91,6 +92,8 @@
             access_log=AccessLog(self.log, self.sampler, self.reactor),
             wall_clock_ms=lambda: time.time_ns() // MS,
             acquire_lock=self._acquire_lock,
+            make_disk_worker=lambda name: ThreadWorker(self.reactor.callFromThread, name),
+            call_from_thread=self.reactor.callFromThread,
         )
         try:
             return Daemon(self.settings, host, join_later)
--- a/ochrecourse/fleet/event_appender.py
+++ b/ochrecourse/fleet/event_appender.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 
 from ochrecourse.fleet.entries import Entry
-from ochrecourse.fleet.kept import Kept
+from ochrecourse.fleet.kept import AppendResult, Kept, OnAppended
 from ochrecourse.fleet.log import Refused
 from ochrecourse.fleet.operator_log import OperatorLog
+from ochrecourse.fleet.wanted_appends import OnEnded, WantedEntry
 
 
 class EventAppender:
@@ -30,32 +31,59 @@
         self._last_refusal = ""
 
     def append(self, channel: str, value: object, must: bool) -> Entry:
-        """Appends an entry; with `must` a full channel takes it too. Raises log.Refused, OSError; then
-        nothing was appended.
+        """Appends an entry, and blocks until it is durable; with `must` a full channel takes it too. Raises
+        log.Refused, OSError; then nothing was appended.
         """
         try:
-            if self.stopped:
-                # Guards against an answer for an entry that no peer receives, and whose journal the next
-                # process may have replaced.
-                raise Refused("this gateway has left its fleet")
-            if channel.encode("utf-8", "replace").decode() != channel:
-                raise Refused("a channel's name that is no text")
+            self._check(channel)
             entry = self.log_store.append(channel, value, self.wall_ms(), must)
         except (Refused, OSError) as error:
             self._refused(channel, str(error))
             raise
-        self._last_refusal = ""
-        self.counts["appends"] += 1
-        self.on_appended()
+        self._appended()
         return entry
 
-    def try_append(self, channel: str, value: object, must: bool) -> bool:
-        """Whether the entry was appended. A refusal is counted and logged."""
+    def request_append(self, channel: str, value: object, must: bool, on_result: OnAppended) -> None:
+        """Appends an entry, and calls `on_result` once it is durable, or could not be made so; possibly
+        before this returns. Raises log.Refused, OSError; then nothing is under way.
+        """
+
+        def ended(result: AppendResult) -> None:
+            if result.error is not None:
+                self._refused(channel, str(result.error))
+            else:
+                self._appended()
+            on_result(result)
+
         try:
-            self.append(channel, value, must)
+            self._check(channel)
+            self.log_store.request_append(channel, value, self.wall_ms(), must, ended)
+        except (Refused, OSError) as error:
+            self._refused(channel, str(error))
+            raise
+
+    def append_wanted(self, wanted: WantedEntry, on_ended: OnEnded) -> None:
+        """Appends what the member itself wants; `on_ended` learns whether it is in the log. A refusal is
+        counted and logged.
+        """
+        try:
+            self.request_append(*wanted, lambda result: on_ended(result.error is None))
         except (Refused, OSError):
-            return False
-        return True
+            on_ended(False)
+
+    def _check(self, channel: str) -> None:
+        """Raises log.Refused."""
+        if self.stopped:
+            # Guards against an answer for an entry that no peer receives, and whose journal the next process
+            # may have replaced.
+            raise Refused("this gateway has left its fleet")
+        if channel.encode("utf-8", "replace").decode() != channel:
+            raise Refused("a channel's name that is no text")
+
+    def _appended(self) -> None:
+        self._last_refusal = ""
+        self.counts["appends"] += 1
+        self.on_appended()
 
     def _refused(self, channel: str, reason: str) -> None:
         self.counts["appends refused"] += 1
--- a/ochrecourse/fleet/frontier.py
+++ b/ochrecourse/fleet/frontier.py
@@ -167,7 +167,10 @@
         self._doubted &= set(self.view.counting.items())
 
     def _achieve(self) -> None:
-        """Promises whose entries are all here."""
+        """Promises whose entries are all here. None more while an own event is not durable yet: what it says
+        of other lives' promises was true as it was drafted, and no floor may pass that before it is here."""
+        if any(draft.channel == CHANNEL for draft in self.log.drafts):
+            return
         for stream in self.view.counting.items():
             if stream == (self.log.name, self.log.life):
                 self._reached[stream] = max(self._reached[stream], self.promise)
@@ -413,23 +416,35 @@
         self.settle()
         name, life = self.log.name, self.log.life
         chain = self.log.chains.get((name, life))
-        before = tuple(
-            (earlier, held.last)
-            for (writer, earlier), held in sorted(self.log.chains.items())
-            if writer == name and earlier < life and self._open((writer, earlier))
-        )
         return {
             "seq": chain.last if chain else 0,
             "head": chain.head(chain.last) if chain else b"",
             "promise": promise,
             "floor": self.floor,
-            "before": before,
+            "before": self.earlier_incarnations(),
         }
 
+    def earlier_incarnations(self) -> tuple[tuple[int, int], ...]:
+        """This gateway's lives before the present one that did not end yet, and how far each is held."""
+        return tuple(
+            (life, chain.last)
+            for (writer, life), chain in sorted(self.log.chains.items())
+            if writer == self.log.name and life < self.log.life and self._open((writer, life))
+        )
+
     def told(self) -> bytes:
         """What stands under PART in this gateway's row."""
+        return self._told(True)
+
+    def told_nothing(self) -> bytes:
+        """The same where nothing may be claimed of the log: no row counts with it."""
+        return self._told(False)
+
+    def _told(self, claims: bool) -> bytes:
         self.settle()  # guards against the digest of one view beside a floor that rests on the next
         forks = [(*stream, same) for stream, same in sorted(self.log.forked.items())]
+        if not claims:
+            return msgspec.json.encode(Told(b"", [], b"", self._born, forks))
         self._look_idle()
         return msgspec.json.encode(
             Told(self.view.digest, sorted(self._doubted), self._dead(), self._born, forks, self._idle)
--- a/ochrecourse/fleet/kept.py
+++ b/ochrecourse/fleet/kept.py
@@ -1,84 +1,69 @@
-"""The log as it outlives its process: each entry is written down, an append also synced before its answer.
+"""The log as it outlives its process: each entry is written down, an append is durable before it is told.
 
-Where records are kept is handed in (`storage.journal.Journal`). What can't be read any more ends what is
-recovered. Every start is a new life, so a number that an older copy of the journal gives out a second time is
-never the same writer's: life, then number. Free of I/O, clock and chance.
+`journal_writer` says when what is written and synced; where records are stored is handed in
+(`storage.journal.Journal`). What can't be read any more ends what is recovered. Every start is a new life, so
+a number that an older copy of the journal gives out a second time is never the same writer's: life, then
+number. Free of I/O, clock and chance.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
-from typing import Protocol
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
 
 import msgspec
 
 from ochrecourse.fleet.entries import Entry, Stamp
-from ochrecourse.fleet.log import BadEntry, Bounds, Holes, Log, Snapshot
+from ochrecourse.fleet.journal_writer import JournalContent, JournalWriter, Renewal
+from ochrecourse.fleet.log import BadEntry, Bounds, Holes, Log, Refused, Snapshot, before
+from ochrecourse.storage.disk_worker import DiskWorker, InlineWorker, OnDone
+from ochrecourse.storage.journal_interface import Journal, JournalRewrite
 
 LIFE_BITS = 16  # of chance below the wall clock's ms in a life
 PROMISED_MS = 2000  # written down ahead, so that not each promise is a write; the next life begins there
+PROMISED_AHEAD_MS = 1000  # left of it when the next is written: a disk may take so long
 SLACK = 1 << 20  # bytes of records that are no longer needed, before the journal is written anew
 PART = 4  # and they must be this part of what is held: each byte is then written anew four times at the most
 SHRUNK = 1024  # entries of a compaction that are let go at once; 1.5 ms
-SYNCED = 1 << 20  # bytes of a new journal after which it is synced, so that its end holds nothing up
+WAIT_S = 1.0  # between two looks of a caller that blocks for the disk
+ANOTHERS = "the journal is another process's"
 
 
-class Anew(Protocol):
-    """What is to take a journal's place."""
+@dataclass(frozen=True, slots=True)
+class AppendResult:
+    """What became of an append: its entry, which is durable now, or why there is none."""
 
-    def append(self, record: bytes) -> int: ...
+    entry: Entry | None = None
+    error: OSError | None = None
 
-    def sync(self) -> None: ...
+    def unwrap(self) -> Entry:
+        """The entry. Raises the error."""
+        if self.entry is None:
+            assert self.error is not None
+            raise self.error
+        return self.entry
 
-    def commit(self) -> None: ...
 
-    def abort(self) -> None: ...
+@dataclass(frozen=True, slots=True)
+class BeginResult:
+    """What became of a new life: its number and that of the one before, or why that goes on."""
 
+    life: int = 0
+    previous: int = 0
+    error: OSError | None = None
 
-class Records(Protocol):
-    """What is needed of a journal. `version`: the form in which it is, or is written anew."""
 
-    version: int
+OnAppended = Callable[[AppendResult], None]
+OnBegun = Callable[[BeginResult], None]
 
-    def records(self) -> Iterator[bytes]: ...
 
-    def append(self, record: bytes) -> None: ...
+def _no_time() -> int:
+    """For logs whose disk is never slow."""
+    return 0
 
-    def sync(self) -> None: ...
 
-    def rewrite(self, records: Iterable[bytes]) -> None: ...
-
-    def begin_rewrite(self) -> Anew: ...
-
-    def close(self) -> None: ...
-
-
-class Renewal:
-    """The journal as it is written anew, by and by. `rest`: records that stood when it began; `since`: what
-    was written to the old one meanwhile."""
-
-    def __init__(self, anew: Anew, rest: Iterator[bytes]) -> None:
-        self.anew = anew
-        self.rest = rest
-        self.since: list[bytes] = []
-        self.unsynced = 0
-
-    def go_on(self, most: int) -> bool:
-        """Writes up to `most` bytes, one record at the least; whether that was all. Raises OSError."""
-        while most > 0:
-            record = next(self.rest, None)
-            if record is None:
-                for late in self.since:
-                    self.anew.append(late)
-                self.anew.commit()
-                return True
-            size = self.anew.append(record)
-            most -= size
-            self.unsynced += size
-        if self.unsynced > SYNCED:
-            self.anew.sync()
-            self.unsynced = 0
-        return False
+def _ignore(error: OSError | None) -> None:
+    """For what nobody waits for."""
 
 
 class Life(msgspec.Struct, frozen=True, array_like=True, tag="life"):
@@ -108,25 +93,43 @@
     """A log and its journal. All that changes the log goes through here.
 
     `notes` say what could not be read or written, a line each. `wall_ms`: ms since 1970; `chance`: 16 bits
-    that another start at the same ms would hardly draw. A journal that can't be written yet refuses appends.
+    that another start at the same ms would hardly draw; `worker`: runs what is written after the start;
+    `clock`: ns, for how long that takes. A journal that can't be written yet refuses appends.
     """
 
-    def __init__(self, journal: Records, name: str, bounds: Bounds, wall_ms: int, chance: int) -> None:
+    def __init__(
+        self,
+        journal: Journal,
+        name: str,
+        bounds: Bounds,
+        wall_ms: int,
+        chance: int,
+        worker: DiskWorker | None = None,
+        clock: Callable[[], int] = _no_time,
+    ) -> None:
         self.journal = journal
         self.notes: list[str] = []
         self.log = Log(name, 0, bounds)
         self._lived = 0
         self._promised = Stamp(0, 0)
-        self._sound = True  # the journal has all that the log has, and nothing else
-        self.given = False  # the journal is another process's
+        self._promised_durably = Stamp(0, 0)
+        self._told_promise = Stamp(0, 0)
+        self.is_beginning = False  # a new life is being written down
         self._spent = 0  # bytes of records that a new journal would not have
-        self._renewal: Renewal | None = None
-        self._unsynced = False  # others' entries or a promise were written since the last sync
         self._forgot = 0  # of the log, when the journal was last begun anew
         self._recover()
         self.log.life = self._lived = max(_life(wall_ms, chance), max(self._lived, self.log.outlived) + 1)
-        self._sound = False
-        self._try([])
+        self._promised_durably = self._promised
+        content = JournalContent(
+            self._all,
+            self._make_renewal,
+            self._failed,
+            self._note,
+            self._rewritten,
+        )
+        self.writer = JournalWriter(journal, content, clock)
+        self.writer.repair()
+        self.writer.worker = worker or InlineWorker()
 
     def _recover(self) -> None:
         for count, record in enumerate(self.journal.records(), 1):
@@ -167,20 +170,25 @@
                 if entry is not None:
                     yield _encode(Held(entry))
 
-    def sync(self) -> None:
-        """What was merged and promised so far outlives a power cut; asked for before this gateway says that
-        it holds it. Once for all that came since the last time."""
-        if self._unsynced and self._sound:
-            self._unsynced = False
-            try:
-                self.journal.sync()
-            except OSError as error:
-                self._failed(error)
+    # --- the disk ---
+
+    @property
+    def is_durable(self) -> bool:
+        """Whether nothing waits for the disk: all that is held outlives a power cut, or the disk has failed,
+        which `notes` say.
+        """
+        return self.writer.is_durable
+
+    def sync(self, on_synced: OnDone = _ignore) -> None:
+        """Calls once what was merged and promised so far outlives a power cut, or could not be made so; asked
+        for before this gateway says that it holds it.
+        """
+        self.writer.sync(on_synced)
 
     @property
     def busy(self) -> bool:
         """Whether there is something for `work` to do."""
-        return self._renewal is not None or bool(self.log.shrinking)
+        return self.writer.is_rewriting or bool(self.log.shrinking)
 
     def work(self, most: int) -> None:
         """Goes on with a compaction, then with writing the journal anew, `most` bytes of it: at a stretch a
@@ -189,91 +197,157 @@
             self.log.shrink(SHRUNK)
             self._look_at_spent()
             return
-        renewal = self._renewal
-        if renewal is None:
-            return
-        try:
-            if renewal.go_on(most):
-                self._renewal = None
-        except OSError as error:
-            self._renewal = None  # the old one goes on; again when as much more could be left out
-            renewal.anew.abort()
-            self._note(error)
+        self.writer.step(most)
 
-    def begin(self, wall_ms: int, chance: int, outlived: int = 0) -> int:
-        """A new life within this process, beyond `outlived`: the fleet has let the old one go. Raises
-        OSError, and then the old one goes on."""
-        life = max(_life(wall_ms, chance), max(self._lived, outlived, self.log.outlived) + 1)
-        self._write([Life(life)])
-        self.journal.sync()
-        self._lived = life
-        self.log.begin(life)
-        return life
+    @property
+    def _renewal(self) -> Renewal | None:
+        return self.writer.rewrite
+
+    def _make_renewal(self, anew: JournalRewrite, rest: Iterator[bytes]) -> Renewal:
+        return Renewal(anew, rest)
 
     @property
     def form(self) -> int:
         """In which the journal is kept."""
-        return self.journal.version
+        return self.writer.version
 
     def raised(self, form: int) -> None:
         """The journal is kept in a newer form from here on."""
-        self.journal.version = form
-        self._sound = False
-        self._try([])
-
-    def give(self) -> None:
-        """Writes no more: another process may open the journal. What was being written anew is dropped: put
-        in place later, it would be over the other's."""
-        self.given = True
-        if self._renewal is not None:
-            self._renewal.anew.abort()
-            self._renewal = None
-        self.journal.close()
+        self.writer.version = form
+        self.writer.repair()
+
+    def give(self, on_given: Callable[[], None] = lambda: None) -> None:
+        """Writes no more: another process may open the journal, once `on_given` is called. What was being
+        written anew is dropped: put in place later, it would be over the other's."""
+        self.writer.close(ANOTHERS, on_given)
+
+    def abandon(self) -> None:
+        """After `give`: the operation under way no longer counts, and may put no file in place."""
+        self.writer.abandon()
+        self.journal.retire()
+
+    def check_stalled(self) -> None:
+        """Refuses what waits for a disk that has stopped answering. To be called now and then."""
+        self.writer.check_stalled()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Blocks until all that was written is on disk, at most so long; whether it is."""
+        self.writer.sync(_ignore)
+        return self.writer.worker.wait(timeout_s)
+
+    # --- what is written ---
+
+    def request_begin(self, wall_ms: int, chance: int, outlived: int, on_begun: OnBegun) -> None:
+        """Begins a new life within this process, beyond `outlived`: the fleet has let the old one go. An
+        OSError is told, and then the old one goes on; no second life is begun meanwhile."""
+        if self.is_beginning:
+            return
+        try:
+            self.writer.check_accepts()
+        except OSError as error:
+            on_begun(BeginResult(error=error))
+            return
+        life = max(_life(wall_ms, chance), max(self._lived, outlived, self.log.outlived) + 1)
+        self.is_beginning = True
+
+        def ended(error: OSError | None) -> None:
+            self.is_beginning = False
+            previous = self.log.life
+            if error is None:
+                self._lived = life
+                self.log.begin(life)
+            on_begun(BeginResult(life, previous, error))
+
+        self.writer.write([_encode(Life(life))], False, ended)
+
+    def begin(self, wall_ms: int, chance: int, outlived: int = 0) -> int:
+        """As `request_begin`, but blocks for the disk. Raises OSError."""
+        results: list[BeginResult] = []
+        self.request_begin(wall_ms, chance, outlived, results.append)
+        self._wait_for(results)
+        if results[0].error is not None:
+            raise results[0].error
+        return results[0].life
 
     def promise(self, wall_ms: int) -> Stamp:
-        """A stamp that all that is appended from now on, in a later life too, stands behind."""
-        if self._forgot != self.log.forgot and self._renewal is None:
+        """A stamp that all that is appended from now on, in a later life too, stands behind. It does not go
+        past an append of this gateway that is not durable, nor beyond what is written down for it."""
+        if self._forgot != self.log.forgot and not self.writer.is_rewriting:
             # Guards against lives that are over and come back with each start, to be named again.
             self._forgot = self.log.forgot
             self._renew()
         promise = self.log.promise(wall_ms)
-        if promise > self._promised:
+        if promise.ms + PROMISED_AHEAD_MS > self._promised.ms:
             self._promised = Stamp(promise.ms + PROMISED_MS, 0)
             self._spent += 32
-            self._try([Promised(self._promised)])
-        return promise
+            self._write_promised(self._promised)
+        if self.log.drafts:
+            promise = min(promise, before(self.log.drafts[0].at))
+        self._told_promise = max(self._told_promise, min(promise, self._promised_durably))
+        return self._told_promise
+
+    def _write_promised(self, upto: Stamp) -> None:
+        def ended(error: OSError | None) -> None:
+            # A disk that fails does not hold up the fleet: nothing is appended here until it is mended.
+            self._promised_durably = max(self._promised_durably, upto)
+
+        self.writer.write([_encode(Promised(upto))], True, ended)
+
+    def request_append(
+        self, channel: str, value: object, wall_ms: int, must: bool, on_appended: OnAppended
+    ) -> None:
+        """Drafts an entry, and calls `on_appended` once it is durable and part of the log, or could not be
+        made so; possibly before this returns. Raises log.Refused, OSError; then nothing is under way."""
+        if self.is_beginning:
+            raise Refused("a new life of this gateway is being begun")
+        entry = self.log.draft(channel, value, wall_ms, must)
+        self.writer.check_accepts()
+        self.log.expect(entry)
+
+        def ended(error: OSError | None) -> None:
+            if error is None and self.log.gone(entry.stream):
+                error = OSError(f"life {entry.life} of {entry.writer} was let go meanwhile")
+            if error is not None:
+                self.log.discard(entry)
+                on_appended(AppendResult(error=error))
+                return
+            self.log.accept(entry)
+            on_appended(AppendResult(entry))
+
+        self.writer.write([_encode(Held(entry))], False, ended)
 
     def append(self, channel: str, value: object, wall_ms: int, must: bool = False) -> Entry:
-        """An entry that outlives this process. Raises log.Refused, OSError; then nothing was appended."""
-        entry = self.log.draft(channel, value, wall_ms, must)
-        self._write([Held(entry)])
-        try:
-            self.journal.sync()
-        except OSError:
-            self._sound = False  # the record may stand there, and its number is given out again
-            raise
-        self._unsynced = False
-        self.log.accept(entry)
-        return entry
+        """As `request_append`, but blocks for the disk. Raises log.Refused, OSError; then nothing was
+        appended."""
+        results: list[AppendResult] = []
+        self.request_append(channel, value, wall_ms, must, results.append)
+        self._wait_for(results)
+        return results[0].unwrap()
+
+    def _wait_for(self, results: Sequence[object]) -> None:
+        while not results:
+            self.writer.worker.wait(WAIT_S)
+            self.writer.check_stalled()
 
     def merge(self, entries: Sequence[Entry], wall_ms: int) -> list[Entry]:
         """The new ones. A journal that can't be written does not stop it: a peer has them still. Raises
         log.BadEntry."""
         new = self.log.merge(entries, wall_ms)
-        self._try([Held(entry) for entry in new])
+        if new:
+            self.writer.write([_encode(Held(entry)) for entry in new], True)
         return new
 
     def take_snapshot(self, piece: Snapshot | Holes) -> bool:
         """Raises log.BadEntry."""
         news = self.log.take_snapshot(piece)
         if news:
-            self._try([piece])
+            self.writer.write([_encode(piece)], True)
         return news
 
     def compact(self, channel: str, upto: Stamp, value: object) -> Snapshot:
         """Raises log.Refused."""
         snapshot = self.log.compact(channel, upto, value)
-        self._try([snapshot])
+        self.writer.write([_encode(snapshot)], True)
         self._look_at_spent()
         return snapshot
 
@@ -283,22 +357,16 @@
             self._renew()
 
     def _renew(self) -> None:
-        if self.given:
-            return
         self._spent = -self.log.freed
-        try:
-            self._renewal = Renewal(self.journal.begin_rewrite(), self._all())
-        except OSError as error:
-            self._note(error)
+        self.writer.begin_rewrite()
 
-    def _try(self, records: Sequence[_Record]) -> None:
-        try:
-            self._write(records)
-        except OSError as error:
-            self._failed(error)
+    # --- what the writer tells ---
+
+    def _rewritten(self) -> None:
+        self._spent, self._forgot = -self.log.freed, self.log.forgot
 
     def _failed(self, error: OSError) -> None:
-        self._sound = False
+        self.log.discard_all()
         self._note(error)
 
     def _note(self, error: OSError) -> None:
@@ -306,28 +374,6 @@
         if line not in self.notes:
             self.notes.append(line)
 
-    def _write(self, records: Sequence[_Record]) -> None:
-        """Raises OSError, and then nothing of them counts."""
-        if self.given:
-            # Guards against two writers: a restart here would put a file in place of the other's.
-            raise OSError("the journal is another process's")
-        if not self._sound:
-            if self._renewal is not None:
-                self._renewal.anew.abort()
-                self._renewal = None
-            self.journal.rewrite(self._all())  # guards against a gap, or a number with two bodies
-            self._sound, self._spent, self._forgot = True, -self.log.freed, self.log.forgot
-        for record in records:
-            data = _encode(record)
-            try:
-                self.journal.append(data)
-            except OSError:
-                self._sound = False
-                raise
-            if self._renewal is not None:
-                self._renewal.since.append(data)
-        self._unsynced = self._unsynced or bool(records)
-
 
 def _life(wall_ms: int, chance: int) -> int:
     return wall_ms << LIFE_BITS | chance % (1 << LIFE_BITS)
--- a/ochrecourse/fleet/log.py
+++ b/ochrecourse/fleet/log.py
@@ -9,6 +9,7 @@
 
 import heapq
 import json
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -63,6 +64,11 @@
     return Stamp(wall_ms, 0) if wall_ms > clock.ms else Stamp(clock.ms, clock.turn + 1)
 
 
+def before(at: Stamp) -> Stamp:
+    """A stamp before `at`, as near to it as is known."""
+    return Stamp(at.ms, at.turn - 1) if at.turn else Stamp(at.ms - 1, 0)
+
+
 class Log:
     """One gateway's copy of the fleet's log. `life` is the stream that this process appends to.
 
@@ -98,6 +104,7 @@
         self._unsaid: dict[Stream, int] = {}  # seen since the last own entry
         self._awaited: dict[Stream, list[Hole]] = {}  # taken, but entries before them are still to come
         self._wall = 0
+        self.drafts: deque[Entry] = deque()  # own entries that are not durable yet, in order
 
     def note(self, line: str) -> None:
         if line not in self.notes:
@@ -120,21 +127,53 @@
         if self.gone((self.name, self.life)):
             raise Refused(f"life {self.life} of {self.name} is over for the fleet; the next beat begins one")
         self._look_at_clock(wall_ms)
-        chain = self.chains.get((self.name, self.life))
-        cause = tuple(sorted((*stream, seq) for stream, seq in self._unsaid.items())[:CAUSES])
-        seq = chain.last + 1 if chain else 1
-        entry = Entry(channel, self.name, self.life, seq, past(self.clock, wall_ms), cause, body)
+        entry = self._next_entry(channel, body, wall_ms)
+        if must:
+            return entry
+        drafted = [cost(draft) for draft in self.drafts if draft.channel == channel]
         held = self._channels.get(channel)
-        if held is None and len(self._channels) >= self.bounds.channels and not must:
-            raise Refused(f"{len(self._channels)} channels are held, no more are begun")
-        if held is not None and not must and held.bytes + cost(entry) > self.bounds.channel_bytes:
-            raise Refused(f"channel {channel} is full: {held.bytes} of {self.bounds.channel_bytes} bytes")
+        if held is None and not drafted:
+            begun = {draft.channel for draft in self.drafts} - self._channels.keys()
+            if len(self._channels) + len(begun) >= self.bounds.channels:
+                raise Refused(f"{len(self._channels)} channels are held, no more are begun")
+            return entry
+        size = (held.bytes if held is not None else 0) + sum(drafted)
+        if size + cost(entry) > self.bounds.channel_bytes:
+            raise Refused(f"channel {channel} is full: {size} of {self.bounds.channel_bytes} bytes")
         return entry
 
+    def _next_entry(self, channel: str, body: bytes, wall_ms: int) -> Entry:
+        """The next own entry, behind those that are only drafted."""
+        chain = self.chains.get((self.name, self.life))
+        last, clock = chain.last if chain else 0, self.clock
+        if self.drafts:
+            last, clock = self.drafts[-1].seq, max(clock, self.drafts[-1].at)
+        said = {(writer, life): seq for draft in self.drafts for writer, life, seq in draft.cause}
+        unsaid = [(*stream, seq) for stream, seq in self._unsaid.items() if said.get(stream) != seq]
+        cause = tuple(sorted(unsaid)[:CAUSES])
+        return Entry(channel, self.name, self.life, last + 1, past(clock, wall_ms), cause, body)
+
+    def expect(self, entry: Entry) -> None:
+        """A draft is being made durable: later drafts stand behind it, and no promise goes past it."""
+        self.drafts.append(entry)
+
+    def discard(self, entry: Entry) -> None:
+        """A draft could not be made durable; those behind it can't either."""
+        if entry in self.drafts:
+            while self.drafts.pop() != entry:
+                pass
+
+    def discard_all(self) -> None:
+        """No draft could be made durable."""
+        self.drafts.clear()
+
     def accept(self, entry: Entry) -> None:
-        """Makes the draft part of the log. Nothing may have been merged or appended since."""
-        for writer, life, _ in entry.cause:
-            del self._unsaid[writer, life]
+        """Makes the draft part of the log, the first of those that are expected."""
+        if self.drafts and self.drafts[0] == entry:
+            self.drafts.popleft()
+        for writer, life, seq in entry.cause:
+            if self._unsaid.get((writer, life)) == seq:
+                del self._unsaid[writer, life]
         self._add(entry)
 
     def begin(self, life: int) -> None:
--- a/ochrecourse/fleet/log_state.py
+++ b/ochrecourse/fleet/log_state.py
@@ -11,7 +11,7 @@
 from ochrecourse.common.runtime import now_ns
 from ochrecourse.fleet.forms import Forms
 from ochrecourse.fleet.frontier import Frontier
-from ochrecourse.fleet.kept import Kept
+from ochrecourse.fleet.kept import BeginResult, Kept
 from ochrecourse.fleet.member_environment import MemberEnvironment
 from ochrecourse.fleet.member_settings import MemberSettings
 from ochrecourse.fleet.members import Members
@@ -40,7 +40,13 @@
         own_name = environment.gateway.name
         now = now_ns(environment.network)
         self.log_store = Kept(
-            environment.journal, own_name, settings.log_bounds, self.wall_ms(), self._random_bits()
+            environment.journal,
+            own_name,
+            settings.log_bounds,
+            self.wall_ms(),
+            self._random_bits(),
+            environment.disk_worker,
+            lambda: now_ns(environment.network),
         )
         self.log = self.log_store.log
         self.members = Members(own_name, self.log.life, zone, settings.quiet, settings.let_go, peers, now)
@@ -55,17 +61,19 @@
 
     def begin_incarnation_if_due(self) -> None:
         """Begins one if the fleet has released the present one, or has received a greater one."""
-        if not self.frontier.over and self.members.outlived <= self.log.life:
-            return
-        previous = self.log.life
-        try:
-            random_bits = self._random_bits()
-            incarnation = self.log_store.begin(self.wall_ms(), random_bits, self.members.outlived)
-        except OSError as error:
-            self.operator_log.write_once_per_beat("", "fleet life goes on", life=previous, why=str(error))
+        is_due = self.frontier.over or self.members.outlived > self.log.life
+        if is_due and not self.log_store.is_beginning:
+            self.log_store.request_begin(
+                self.wall_ms(), self._random_bits(), self.members.outlived, self._incarnation_begun
+            )
+
+    def _incarnation_begun(self, result: BeginResult) -> None:
+        if result.error is not None:
+            life, why = self.log.life, str(result.error)
+            self.operator_log.write_once_per_beat("", "fleet life goes on", life=life, why=why)
             return
-        self.members.begin(incarnation)
-        self.operator_log.write("fleet life begun", life=incarnation, before=previous)
+        self.members.begin(result.life, self.frontier.earlier_incarnations())
+        self.operator_log.write("fleet life begun", life=result.life, before=result.previous)
 
     def update_journal_form(self) -> None:
         """Puts the journal in the form in force, as far as this program writes it: a program that does not
--- a/ochrecourse/fleet/member.py
+++ b/ochrecourse/fleet/member.py
@@ -16,11 +16,13 @@
 from ochrecourse.common.runtime import now_ns
 from ochrecourse.fleet.channel import Told
 from ochrecourse.fleet.channel_readers import ChannelReaders, OnEntries
+from ochrecourse.fleet.durable_claim import DurableClaim, LogClaim
 from ochrecourse.fleet.entries import Entry, Row, Stamp
 from ochrecourse.fleet.event_appender import EventAppender
 from ochrecourse.fleet.event_compaction import EventCompaction, compact
 from ochrecourse.fleet.forms import FIRST, Raise
 from ochrecourse.fleet.frontier import CHANNEL, PART
+from ochrecourse.fleet.kept import AppendResult, OnAppended
 from ochrecourse.fleet.link import Door, Link
 from ochrecourse.fleet.log_state import LogState
 from ochrecourse.fleet.log import Holes, Refused, Snapshot
@@ -36,17 +38,23 @@
 from ochrecourse.fleet.peer_links import LinkContext, LinkTraffic, PeerLinks
 from ochrecourse.fleet.shared import Common
 from ochrecourse.fleet.subsystem import Subsystem
-from ochrecourse.fleet.subsystem_host import MAX_ENTRIES_PER_BEAT, SubsystemHost
+from ochrecourse.fleet.subsystem_host import SubsystemHost
+from ochrecourse.fleet.wanted_appends import WantedAppends, WantedEntry
 from ochrecourse.interface import NodeEntry
 from ochrecourse.settings.addresses import parse_address
 
 MAX_HOLES_BYTES = 1 << 20  # of one piece of holes, 2048 of some 400 bytes at the most
 MAX_CHANNEL_NAME_BYTES = 1024  # of a channel's name beside it
 NO_PLACEMENT = ZonePlacement()
+HANDOVER_WAIT_S = 5.0  # for an operation on the journal, before the next process opens it all the same
 
 Listen = Callable[[str, int, Any, str], Any]
 
 
+def _ignore_result(result: AppendResult) -> None:
+    """For appends whose caller does not wait for the result."""
+
+
 class FleetMember:
     """One gateway in its fleet. Times in ns on the network's clock unless the name says otherwise."""
 
@@ -88,6 +96,8 @@
         self.appender = EventAppender(
             self.log_store, self.wall_ms, self.operator_log, lambda: self.peer_links.pump_all()
         )
+        self._frontier_appends = WantedAppends(self._next_frontier_entry, self.appender.append_wanted)
+        self._durable_claim = DurableClaim(self.log_store)
         self._compaction = EventCompaction(self.common, self.frontier, self.operator_log.write)
         self._report = MemberReport(
             self.network,
@@ -186,13 +196,25 @@
         self._stop_timer_and_listening()
         self.peer_links.close_all(Link.cut)
 
-    def give(self) -> None:
-        """Leaves, and gives up the journal: another process goes on under this name. The rate limits of nodes
-        stay as they are until `share`.
+    def give(self, on_given: Callable[[], None] = lambda: None) -> None:
+        """Leaves, and gives up the journal: another process goes on under this name, once `on_given` is
+        called, after HANDOVER_WAIT_S at the latest. The rate limits of nodes stay as they are until `share`.
         """
         self.stop()
-        self.log_store.give()
+        release = _Once(on_given)
+        self.log_store.give(release)
         self.member_zones.detach()
+        if not release.is_called:
+            self.network.callLater(HANDOVER_WAIT_S, self._release_slow_journal, release)
+
+    def _release_slow_journal(self, release: _Once) -> None:
+        if not release.is_called:
+            self.log_store.abandon()
+            release()
+
+    def close_journal(self, timeout_s: float) -> bool:
+        """Blocks until all that was written is on disk, before the process ends; whether it is in time."""
+        return self.log_store.wait(timeout_s)
 
     def share(self, share: float) -> None:
         """Leaves that share of the rate limits to this process; the rest is for the next one."""
@@ -249,23 +271,31 @@
     # --- for a host program: the event log ---
 
     def append(self, channel: str, value: object) -> Entry:
-        """Appends an entry, which is on disk here before it goes to the others. Raises log.Refused, OSError;
-        then nothing was appended.
+        """Appends an entry, which is on disk here before it goes to the others, and blocks until it is.
+        Raises log.Refused, OSError; then nothing was appended.
         """
-        if channel == CHANNEL and isinstance(value, dict) and value.get("what") == "form":
-            raise Refused("a form is raised by its own word, which asks whether all speak it")
+        _check_kind(channel, value)
         return self.appender.append(channel, value, False)
 
-    def give_up(self, name: str) -> Entry:
+    def request_append(self, channel: str, value: object, on_result: OnAppended) -> None:
+        """Appends an entry without blocking: `on_result` is called once it is on disk here and goes to the
+        others, or could not be written; possibly before this returns. Raises log.Refused, OSError; then
+        nothing is under way.
+        """
+        _check_kind(channel, value)
+        self.appender.request_append(channel, value, False, on_result)
+
+    def give_up(self, name: str, on_result: OnAppended) -> None:
         """An operator says that a gateway does not return. Raises log.Refused, OSError."""
-        return self.append(CHANNEL, self.frontier.give_up(name, self.members.reached(now_ns(self.network))))
+        value = self.frontier.give_up(name, self.members.reached(now_ns(self.network)))
+        self.request_append(CHANNEL, value, on_result)
 
-    def raise_form(self, form: int) -> Entry:
+    def raise_form(self, form: int, on_result: OnAppended = _ignore_result) -> None:
         """Puts a form in force from here on. Raises log.Refused with what is in the way, OSError."""
         obstacle = self.form_waits(form)
         if obstacle:
             raise Refused(obstacle)
-        return self.appender.append(CHANNEL, msgspec.to_builtins(Raise(form)), True)
+        self.appender.request_append(CHANNEL, msgspec.to_builtins(Raise(form)), True, on_result)
 
     def form_waits(self, form: int) -> str:
         """Why a form may not be put in force now; empty if it may."""
@@ -313,6 +343,7 @@
 
     def _beat(self, now: int) -> None:
         self.operator_log.beat_began()
+        self.log_store.check_stalled()
         heartbeats, self._new_heartbeats = self._new_heartbeats, {}
         self.subsystem_host.deliver_statuses(heartbeats.values(), now)
         self.member_zones.apply_shared_settings(self.operator_log)
@@ -338,21 +369,24 @@
         self.peer_links.pump_all()
 
     def _append_wanted(self, now: int) -> None:
-        reached = self.members.reached(now)
-        away = self.members.away(now)
         if self.timer.beat_count % 2:  # every other beat: the frontier looks at all heartbeats again
-            for _ in range(MAX_ENTRIES_PER_BEAT):
-                value = self.frontier.wants(reached, away)
-                if value is None or not self.appender.try_append(CHANNEL, value, True):
-                    break
-        zones = {name: self.members.zone_of(name) for name in reached}
-        self.subsystem_host.append_wanted(now, zones, self.appender.try_append)
+            self._frontier_appends.beat()
+        zones = {name: self.members.zone_of(name) for name in self.members.reached(now)}
+        self.subsystem_host.append_wanted(zones, self.appender.append_wanted)
+
+    def _next_frontier_entry(self) -> WantedEntry | None:
+        now = now_ns(self.network)
+        value = self.frontier.wants(self.members.reached(now), self.members.away(now))
+        return WantedEntry(CHANNEL, value, True) if value is not None else None
 
     def _send_heartbeat(self, now: int) -> None:
-        statuses = {PART: self.frontier.told(), **self.subsystem_host.statuses(now)}
-        promise = self.log_store.promise(self.wall_ms())
-        self.log_store.sync()
-        self.members.own(now, told=statuses, **self.frontier.fields(promise))
+        status, statuses = self.frontier.told(), self.subsystem_host.statuses(now)
+        fields = self.frontier.fields(self.log_store.promise(self.wall_ms()))
+        claim = self._durable_claim.update(LogClaim(self.log.life, status, fields["floor"]))
+        if claim is None:
+            claim = LogClaim(self.log.life, self.frontier.told_nothing())
+        fields["floor"] = claim.floor
+        self.members.own(now, told={PART: claim.status, **statuses}, **fields)
 
     def _update_rate_limits(self, now: int) -> None:
         limits = self.subsystem_host.rate_limits(now)
@@ -365,3 +399,22 @@
         if self.zone_subsystem is not None:
             self.operator_log.write_zone_changes(self.zone_subsystem.changes())
         self.operator_log.write_notes([*self.log.notes, *self.log_store.notes])
+
+
+def _check_kind(channel: str, value: object) -> None:
+    """Raises log.Refused."""
+    if channel == CHANNEL and isinstance(value, dict) and value.get("what") == "form":
+        raise Refused("a form is raised by its own word, which asks whether all speak it")
+
+
+class _Once:
+    """A call that is made at most once."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call = call
+        self.is_called = False
+
+    def __call__(self) -> None:
+        if not self.is_called:
+            self.is_called = True
+            self.call()
--- a/ochrecourse/fleet/member_environment.py
+++ b/ochrecourse/fleet/member_environment.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple, Protocol
 
 from ochrecourse.common.request_records import AttemptRecord, RequestRecord
 from ochrecourse.common.runtime import Network
 from ochrecourse.fleet.forms import FIRST, NEWEST
 from ochrecourse.fleet.zone_subsystem import InFlightRequests
+from ochrecourse.storage.disk_worker import DiskWorker, InlineWorker
 from ochrecourse.storage.journal import Journal
 
 
@@ -47,7 +48,7 @@
     """What a host program gives to a member.
 
     `unix_time_ms`: the wall clock, ms since 1970. `write_log` takes a line of the log: an event and its
-    fields.
+    fields. `disk_worker` runs what is written to the journal once the member is made.
     """
 
     gateway: MemberGateway
@@ -56,6 +57,7 @@
     seed: int
     unix_time_ms: Callable[[], int]
     write_log: Callable[..., None] = _discard_line
+    disk_worker: DiskWorker = field(default_factory=InlineWorker)
 
 
 @dataclass(frozen=True)
--- a/ochrecourse/fleet/members.py
+++ b/ochrecourse/fleet/members.py
@@ -51,11 +51,14 @@
         self.rows[self.name] = row
         return row
 
-    def begin(self, life: int) -> None:
-        """Goes on under a new life: the fleet has let the old one go, or knows of a greater one."""
+    def begin(self, life: int, before: tuple[tuple[int, int], ...] | None = None) -> None:
+        """Goes on under a new life: the fleet has let the old one go, or knows of a greater one. `before`:
+        earlier lives, as `Row` has them."""
         self.renewed += self.life < self.outlived
         self.life = life
-        self.rows[self.name] = msgspec.structs.replace(self.rows[self.name], life=life, seq=0, head=b"")
+        row = self.rows[self.name]
+        before = row.before if before is None else before
+        self.rows[self.name] = msgspec.structs.replace(row, life=life, seq=0, head=b"", before=before)
 
     def hear(self, row: Row, now: int) -> bool:
         """Whether the row is news. Raises BadRow, and then nothing is changed."""
--- a/ochrecourse/fleet/subsystem_host.py
+++ b/ochrecourse/fleet/subsystem_host.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
+from functools import partial
 
 from ochrecourse.common.runtime import Clock, now_ns
 from ochrecourse.fleet.entries import Entry, Row
@@ -11,12 +12,10 @@
 from ochrecourse.fleet.log import Log, Snapshot
 from ochrecourse.fleet.operator_log import OperatorLog
 from ochrecourse.fleet.subsystem import Subsystem, events_for
+from ochrecourse.fleet.wanted_appends import RequestAppend, WantedAppends, WantedEntry
 
-MAX_ENTRIES_PER_BEAT = 64  # that one subsystem may append: a mistake of it floods nobody
 MAX_REASON_CHARACTERS = 300
 
-TryAppend = Callable[[str, object, bool], bool]
-
 
 class SubsystemHost:
     """`subsystems` in the order of their registration. `peer_errors`: mistakes of peers by code."""
@@ -27,6 +26,8 @@
         self.operator_log = operator_log
         self.peer_errors = peer_errors
         self.subsystems: list[Subsystem] = []
+        self._appends: dict[int, WantedAppends] = {}  # by position in `subsystems`
+        self._reached: Mapping[str, int] = {}
 
     def register(self, subsystem: Subsystem) -> None:
         """Adds a subsystem; it receives all entries that are in the log."""
@@ -76,13 +77,17 @@
         for subsystem in self.subsystems:
             subsystem.beat_passed(now)
 
-    def append_wanted(self, now: int, zones: Mapping[str, int], try_append: TryAppend) -> None:
+    def append_wanted(self, zones: Mapping[str, int], request_append: RequestAppend) -> None:
         """Appends the entries that subsystems want. `zones`: of the gateways that are reached."""
-        for subsystem in self.subsystems:
-            for _ in range(MAX_ENTRIES_PER_BEAT):
-                wanted = subsystem.next_entry(now, zones)
-                if wanted is None or not try_append(*wanted, False):
-                    break
+        self._reached = zones
+        for position, subsystem in enumerate(self.subsystems):
+            if position not in self._appends:
+                self._appends[position] = WantedAppends(partial(self._next_entry, subsystem), request_append)
+            self._appends[position].beat()
+
+    def _next_entry(self, subsystem: Subsystem) -> WantedEntry | None:
+        wanted = subsystem.next_entry(now_ns(self.clock), self._reached)
+        return WantedEntry(*wanted) if wanted is not None else None
 
     def statuses(self, now: int) -> dict[str, bytes]:
         """What the subsystems report in the next heartbeat, by name."""
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -22,6 +22,7 @@
 WEBDAV = "webdav"  # and that of WebDAV
 BACKLOG = 4096  # connections that may wait to be accepted
 ANY_PORT = ("127.0.0.1", 0)  # where the settings name no address
+JOURNAL_END_WAIT_S = 5.0  # for the journal's last sync, once no client is left
 LAST_ANSWERS = 0.2  # s for the last answers to be sent before connections close
 
 # Opens a port for what is named: its name, port, factory and host. Raises CannotListenError.
@@ -98,13 +99,21 @@
             self.fleet_member = self._make_fleet_member()
             self.fleet_member.nodes_are(self.gateway.entries)
 
-    def release_fleet(self) -> None:
-        """Leaves the fleet to the next process of this name; requests are served as before."""
-        if self.fleet_member is not None:
-            self.released_member, self.fleet_member = self.fleet_member, None
-            self.released_member.give()
+    def release_fleet(self, on_released: Callable[[], None] = lambda: None) -> None:
+        """Leaves the fleet to the next process of this name, which may open the journal once `on_released` is
+        called; requests are served as before.
+        """
+        if self.fleet_member is None:
+            on_released()
+            return
+
+        def given() -> None:
             if self.process_lock is not None:
                 self.process_lock.release()
+            on_released()
+
+        self.released_member, self.fleet_member = self.fleet_member, None
+        self.released_member.give(given)
 
     def rejoin_fleet(self, listen: Listen) -> None:
         """The next process ended before it served: takes this gateway's place in the fleet again. Raises
@@ -178,6 +187,8 @@
         self.network.callLater(2 * LAST_ANSWERS, self._stopped)
 
     def _stopped(self) -> None:
+        if self.fleet_member is not None:
+            self.fleet_member.close_journal(JOURNAL_END_WAIT_S)
         if self.process_lock is not None:
             self.process_lock.release()
         self.host.on_stopped()
--- a/ochrecourse/gateway/daemon_parts.py
+++ b/ochrecourse/gateway/daemon_parts.py
@@ -32,6 +32,7 @@
 from ochrecourse.scheduler.scheduler import Scheduler
 from ochrecourse.settings.addresses import parse_address
 from ochrecourse.settings.plain import plain_map
+from ochrecourse.storage.disk_worker import DiskWorker, InlineWorker
 from ochrecourse.storage.journal import FileJournal, Journal, MemoryJournal
 from ochrecourse.storage.process_lock import ProcessLock
 from ochrecourse.webdav.door import Door
@@ -45,6 +46,16 @@
     """A log that drops everything."""
 
 
+def inline_worker(name: str) -> DiskWorker:
+    """For hosts that write files in the event loop."""
+    return InlineWorker()
+
+
+def call_now(call: Callable[..., Any], *args: Any) -> None:
+    """For hosts without threads."""
+    call(*args)
+
+
 @dataclass
 class HostProgram:
     """What the program around a daemon provides.
@@ -53,7 +64,9 @@
     `log_event` takes a line of the log, with its fields; `clock_zero`: s since 1970 at the network's clock's
     zero, for dates that clients see; `access_log` takes a WebDAV request's line; `names_journal` stores names
     and locks, `fleet_journal` what the fleet shares, by default in the folder `gateway.state`;
-    `wall_clock_ms`: ms since 1970; `acquire_lock` acquires the lock of that folder as the daemon is made.
+    `wall_clock_ms`: ms since 1970; `acquire_lock` acquires the lock of that folder as the daemon is made;
+    `make_disk_worker`: by name, who writes files while the gateway serves; `call_from_thread` has the event
+    loop make a call that such a worker asks for.
     """
 
     network: Network
@@ -68,6 +81,8 @@
     fleet_journal: Journal | None = None
     wall_clock_ms: Callable[[], int] | None = None
     acquire_lock: Callable[[ProcessLock], None] = ProcessLock.acquire
+    make_disk_worker: Callable[[str], DiskWorker] = inline_worker
+    call_from_thread: Callable[..., Any] = call_now
 
 
 class DaemonParts(ABC):
@@ -147,7 +162,12 @@
         cache = Path(state) / f"{name}.nodes" if state else None
         seed = self.seed ^ WATCHER_SEED
         context = WatcherContext(
-            name, self.network, self._endpoint_list_received, cache, seed, self.host.warn
+            name,
+            self.network,
+            self._endpoint_list_received,
+            cache,
+            seed,
+            self.host.warn,
         )
         if "registry" in self.record:
             settings = self.record["registry"]
@@ -193,13 +213,15 @@
         return webdav_server(self.record, self.gateway, self.network, names, host.access_log)
 
     def _report_slow_syncs(self, journal: Journal) -> None:
-        """Logs each sync of a journal that blocked the event loop for long."""
+        """Logs each sync of a journal that took long."""
         if isinstance(journal, FileJournal):
             self.file_journals[journal.name] = journal
             file, log_event = journal.path.name, self.host.log_event
-            journal.on_slow_sync = lambda seconds: log_event(
-                "journal sync slow", file=file, took_ms=round(1000 * seconds)
-            )
+
+            def log_slow_sync(seconds: float) -> None:
+                log_event("journal sync slow", file=file, took_ms=round(1000 * seconds))
+
+            journal.on_slow_sync = lambda seconds: self.host.call_from_thread(log_slow_sync, seconds)
 
     def _make_speaker(self) -> Speaker | None:
         """Who announces the service addresses, where the settings have any."""
@@ -247,7 +269,13 @@
         rules, zones = record["rules"], record["zones"]
         since_1970 = host.wall_clock_ms or unix_clock(self.network, host.clock_zero)
         environment = MemberEnvironment(
-            self.gateway, self.network, journal, self.seed ^ FLEET_SEED, since_1970, host.log_event
+            self.gateway,
+            self.network,
+            journal,
+            self.seed ^ FLEET_SEED,
+            since_1970,
+            host.log_event,
+            host.make_disk_worker("fleet-journal"),
         )
         placement = ZonePlacement(own["zone"], len(zones), round(rules["cold_time"] * MS), zones)
         member = FleetMember(self._fleet_settings(), environment, placement)
--- a/ochrecourse/lab/fleet_instance.py
+++ b/ochrecourse/lab/fleet_instance.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING, Any
 
 from ochrecourse.gateway.daemon import Daemon
 from ochrecourse.gateway.daemon_parts import HostProgram
-from ochrecourse.lab.fleet_disk import Disk
+from ochrecourse.lab.fleet_disk import Disk, SlowWorker
 from ochrecourse.lab.play import Seat, VirtualPlay
+from ochrecourse.storage.disk_worker import DiskWorker, InlineWorker
 
 if TYPE_CHECKING:
     from ochrecourse.lab.fleet_play import FleetPlay
@@ -25,6 +27,7 @@
         super().__init__(play, index)
         self.network = play.network.host(self.name)
         self.disk = Disk()
+        self.disk_workers: list[SlowWorker] = []  # of the process that runs
         self.zone = index % len(play.day.zones)
         self.off = 0  # faults that keep it down
         self.newest = play.world.newest  # type: ignore[attr-defined]
@@ -53,7 +56,7 @@
             host = HostProgram(
                 self.network, [self.play], self.play.warnings.append, lambda: None,
                 decisions=self.play.decisions, names_journal=self.tree, clock_zero=EPOCH_MS // 1000,
-                fleet_journal=self.disk, wall_clock_ms=self.wall_ms,
+                fleet_journal=self.disk, wall_clock_ms=self.wall_ms, make_disk_worker=self.make_disk_worker,
             )  # fmt: skip
             return Daemon(resolved, host)
         host = HostProgram(
@@ -62,6 +65,22 @@
         )  # fmt: skip
         return Daemon(resolved, host)
 
+    def make_disk_worker(self, name: str) -> DiskWorker:
+        """Its disk, as slow as the world has it."""
+        longest_s = self.play.world.sync_ms / 1000
+        if not longest_s:
+            return InlineWorker()
+        chance = random.Random(f"{self.play.world.seed} {self.name} {self.lives} {name}")
+        worker = SlowWorker(self.network, chance, longest_s)
+        self.disk_workers.append(worker)
+        return worker
+
+    def kill(self) -> None:
+        for worker in self.disk_workers:
+            worker.stop()
+        self.disk_workers.clear()
+        super().kill()
+
     def runs(self) -> bool:
         """Whether it can be asked and heard now."""
         return self.daemon is not None and not self.play.network.host(self.name).still
--- a/ochrecourse/lab/fleet_notes.py
+++ b/ochrecourse/lab/fleet_notes.py
@@ -14,6 +14,7 @@
 
 from ochrecourse.fleet.channel import ORDINARY, Snapshot
 from ochrecourse.fleet.entries import Entry, Place, Stamp
+from ochrecourse.fleet.kept import AppendResult
 from ochrecourse.fleet.log import Refused
 
 if TYPE_CHECKING:
@@ -89,7 +90,11 @@
         self.count += 1
         with suppress(Refused, OSError):
             value = [self.count, "." * self.world.note_bytes]
-            self.noted.append(seat.part().append(NOTES, value))
+            seat.part().request_append(NOTES, value, self._note_answered)
+
+    def _note_answered(self, result: AppendResult) -> None:
+        if result.entry is not None:
+            self.noted.append(result.entry)
 
     def read_at(self, seat: FleetSeat) -> None:
         """A gateway's own reader, a new one in each of its lives, reads on."""
--- a/ochrecourse/lab/fleet_site.py
+++ b/ochrecourse/lab/fleet_site.py
@@ -89,7 +89,7 @@
             if seat.runs():
                 try:
                     body = edition(full, 2, today(TIME_ZONE, self.wall(0)), 4)
-                    seat.part().append(CHANNELS[0], body)
+                    seat.part().request_append(CHANNELS[0], body, lambda result: None)
                 except (Refused, OSError):
                     continue  # a full disk: the person hears of it
         return lambda: None
--- a/ochrecourse/lab/fleet_world.py
+++ b/ochrecourse/lab/fleet_world.py
@@ -82,6 +82,7 @@
     let_go_ms: float = 0.0  # away for so long, a gateway is let go; 0: as usual
     channel_bytes: float = 0.0  # of each channel of the log; 0: as usual
     note_bytes: int = 0  # of each note, beside what it says
+    sync_ms: float = 0.0  # that an operation on a gateway's journal takes at the longest; drawn for each
     compacts: bool = False  # clients put snapshots in place of older notes
 
 
--- a/ochrecourse/lab/mistakes.py
+++ b/ochrecourse/lab/mistakes.py
@@ -22,7 +22,7 @@
 from ochrecourse.fleet.channel import Channel, Snapshot
 from ochrecourse.fleet.frontier import Frontier
 from ochrecourse.fleet.object_cache import PurgeableObjectCache
-from ochrecourse.fleet.kept import Kept
+from ochrecourse.fleet.journal_writer import JournalWriter, Renewal
 from ochrecourse.fleet.log import Log
 from ochrecourse.fleet.zone_state import ZoneDecisions
 from ochrecourse.fleet.zone_controller import ZoneController
@@ -32,10 +32,11 @@
 
 
 class Mistake(NamedTuple):
-    """`shown`: kinds of breach that are this mistake's and no accident's."""
+    """`shown`: kinds of breach that are this mistake's and no accident's; `slow_disks`: it needs such."""
 
     make: Callable[[Patch], None]
     shown: tuple[str, ...]
+    slow_disks: bool = False
 
 
 # --- standings and zones ---
@@ -157,17 +158,36 @@
 
 def is_not_synced(patch: Patch) -> None:
     """An append is answered before it is on disk."""
-    append = Kept.append
+    write = JournalWriter.write
 
-    def at_once(self: Kept, *what: Any, **how: Any) -> Any:
-        journal: Any = self.journal
-        journal.sync = lambda: None
-        try:
-            return append(self, *what, **how)
-        finally:
-            del journal.sync
+    def at_once(self: JournalWriter, records: Any, in_content: bool, on_durable: Any = None) -> None:
+        write(self, records, in_content)
+        if on_durable is not None:
+            on_durable(None)
+
+    patch(JournalWriter, "write", at_once)
+
+
+def changes_places(patch: Patch) -> None:
+    """Batches of records that wait for the disk change places."""
+    operation = JournalWriter._append_operation
+
+    def reversed_order(self: JournalWriter) -> Any:
+        self._waiting.reverse()
+        return operation(self)
+
+    patch(JournalWriter, "_append_operation", reversed_order)
+
+
+def drops_since(patch: Patch) -> None:
+    """What is written while the journal is rewritten is in the old one alone."""
+    go_on = Renewal.go_on
+
+    def forgets(self: Renewal, most: int) -> bool:
+        self.since.clear()
+        return go_on(self, most)
 
-    patch(Kept, "append", at_once)
+    patch(Renewal, "go_on", forgets)
 
 
 def snapshot_in_part(patch: Patch) -> None:
@@ -265,6 +285,8 @@
     "late as settled": Mistake(late_as_settled, ("order of notes",)),
     "lives again": Mistake(lives_again, ("note lost", "logs differ", "order of notes")),
     "is not synced": Mistake(is_not_synced, ("note lost",)),
+    "changes places": Mistake(changes_places, ("note lost", "logs differ"), slow_disks=True),
+    "drops since": Mistake(drops_since, ("note lost", "logs differ"), slow_disks=True),
     "snapshot in part": Mistake(snapshot_in_part, ("snapshot in part", "logs differ")),
     "snapshot unread": Mistake(snapshot_unread, ("note skipped", "order of notes")),
     "UTC date": Mistake(utc_date, ("purge at another time", "purge not once")),
--- a/ochrecourse/lab/search.py
+++ b/ochrecourse/lab/search.py
@@ -54,13 +54,22 @@
 # What may strike less than half of the gateways: of more of them nothing is promised.
 FEWER = ("clock", "disk_cut")
 
+SYNCS = (20.0, 1200.0)  # ms that an operation on a journal takes at the longest in worlds with slow disks
+
 PLAIN = World()  # what a world is like where nothing is drawn
 
 Breaks = Callable[[World], bool]
 
 
-def draw(seed: int, gateways: int = 6, nodes: int = 6, zones: int = 3, length_s: float = 16.0) -> World:
-    """The world of a seed."""
+def draw(
+    seed: int,
+    gateways: int = 6,
+    nodes: int = 6,
+    zones: int = 3,
+    length_s: float = 16.0,
+    slow_disks: bool = False,
+) -> World:
+    """The world of a seed. `slow_disks`: syncs take a drawn time, in an otherwise equal world."""
     chance = random.Random(f"{seed} world")
     more = _more(chance, gateways, nodes, zones)
     known = [kind for kind in KINDS if kind != "edition" or "close_s" in more]
@@ -100,6 +109,7 @@
         length_s=length_s,
         load=chance.choice((0.3, 0.45, 0.6)),
         jobs=5.0 * nodes,
+        sync_ms=_sync_ms(seed) if slow_disks else 0.0,
         faults=tuple(sorted(faults, key=lambda each: each.at_s)),
         # Short loans and rests make more of them in the few seconds of a world.
         figures={"lend": 2000.0, "rest": 2000.0} if chance.random() < 0.5 else {},
@@ -107,6 +117,12 @@
     )
 
 
+def _sync_ms(seed: int) -> float:
+    least, most = SYNCS
+    # From a chance of its own, so that it moves no other draw; as many short spans as long ones.
+    return float(round(least * (most / least) ** random.Random(f"{seed} syncs").random()))
+
+
 def _layout(chance: random.Random, nodes: int, zones: int) -> tuple[tuple[int, int], ...]:
     """By node its shard and zone: half of the shards in one zone alone, each zone with some node."""
     placed: list[tuple[int, int]] = []
--- a/ochrecourse/storage/atomic_file.py
+++ b/ochrecourse/storage/atomic_file.py
@@ -59,7 +59,12 @@
 def replace(temporary: Path, path: Path) -> None:
     """Renames a complete and synced file to `path`, and syncs the directory. Raises OSError."""
     os.replace(temporary, path)
-    directory = os.open(path.parent, os.O_RDONLY)
+    sync_directory(path.parent)
+
+
+def sync_directory(path: Path) -> None:
+    """Makes names that were changed in a directory survive a power failure, where its file system can."""
+    directory = os.open(path, os.O_RDONLY)
     try:
         with contextlib.suppress(OSError):  # not every file system syncs directories
             os.fsync(directory)
--- a/ochrecourse/storage/journal.py
+++ b/ochrecourse/storage/journal.py
@@ -10,13 +10,15 @@
 
 import contextlib
 import os
+import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from pathlib import Path
-from typing import Protocol
 
 from ochrecourse.common.errors import OchrecourseError
 from ochrecourse.storage import atomic_file
+from ochrecourse.storage.journal_interface import Journal as Journal
+from ochrecourse.storage.journal_interface import JournalRewrite as JournalRewrite
 from ochrecourse.storage.record_frames import FrameReader, encode_frame
 
 CLOSED = -1  # in place of a file descriptor
@@ -28,48 +30,6 @@
     """The file is not a journal of this kind; the text says what it is."""
 
 
-class JournalRewrite(Protocol):
-    """New content of a journal, written while the journal goes on; it counts once it is committed."""
-
-    def append(self, record: bytes) -> int:
-        """Adds a record to the new content; returns how many bytes that took. Raises OSError."""
-
-    def sync(self) -> None:
-        """Syncs what was appended so far, so that `commit` has little left to do. Raises OSError."""
-
-    def commit(self) -> None:
-        """Replaces the journal's content, all at once. Raises OSError."""
-
-    def abort(self) -> None:
-        """Discards the new content."""
-
-
-class Journal(Protocol):
-    """Where records are stored. `version`: its format's, and what the next rewrite is written in."""
-
-    version: int
-
-    def records(self) -> Iterator[bytes]:
-        """All records that can be read, in order. Raises JournalError, OSError."""
-
-    def append(self, record: bytes) -> None:
-        """Adds a record. Raises OSError, and then nothing of the record is stored."""
-
-    def sync(self) -> None:
-        """What was appended survives a power failure. Raises OSError: then it may or may not, and nothing
-        more can be appended before a rewrite.
-        """
-
-    def rewrite(self, records: Iterable[bytes]) -> None:
-        """Replaces the content by these records, all at once. Raises OSError."""
-
-    def begin_rewrite(self) -> JournalRewrite:
-        """The same in steps. Raises OSError."""
-
-    def close(self) -> None:
-        """Nothing more is written."""
-
-
 class MemoryJournal:
     """For runs that store nothing, and for incarnations that follow each other in one process."""
 
@@ -85,6 +45,11 @@
         """Adds a record."""
         self.stored.append(record)
 
+    def append_all(self, records: Sequence[bytes]) -> None:
+        """Adds records."""
+        for record in records:
+            self.append(record)
+
     def sync(self) -> None:
         """Memory has nothing to sync."""
 
@@ -99,6 +64,9 @@
     def close(self) -> None:
         """The records stay, for the next one who reads them."""
 
+    def retire(self) -> None:
+        """No other process has them."""
+
 
 class _MemoryJournalRewrite:
     """New content of a journal in memory."""
@@ -141,6 +109,8 @@
         self.on_slow_sync: Callable[[float], None] = lambda seconds: None
         self.worst_sync_s = 0.0
         self._descriptor = CLOSED
+        self._replacing = threading.Lock()
+        self._is_retired = False
 
     # --- reading ---
 
@@ -196,17 +166,21 @@
 
     def append(self, record: bytes) -> None:
         """Adds a record. Raises OSError, and then nothing of the record is stored."""
+        self.append_all([record])
+
+    def append_all(self, records: Sequence[bytes]) -> None:
+        """Adds records with one call of the system. Raises OSError, and then nothing of them is stored."""
         if self.broken:
             raise OSError("the journal could not be mended after a write that failed")
-        frame = encode_frame(record)
+        frames = b"".join(map(encode_frame, records))
         try:
-            written = os.write(self._descriptor, frame)
-            if written != len(frame):
-                raise OSError(f"{written} of {len(frame)} bytes were written")
+            written = os.write(self._descriptor, frames)
+            if written != len(frames):
+                raise OSError(f"{written} of {len(frames)} bytes were written")
         except OSError:
-            self._remove_partial_frame()
+            self._remove_partial_frames()
             raise
-        self.size += len(frame)
+        self.size += len(frames)
 
     def sync(self) -> None:
         """What was appended survives a power failure. Raises OSError."""
@@ -240,7 +214,11 @@
 
     def replace_file(self, temporary: Path) -> None:
         """Puts a complete and synced file in place of this one. Raises OSError."""
-        atomic_file.replace(temporary, self.path)
+        with self._replacing:
+            if self._is_retired:
+                raise OSError("the journal is another process's")
+            os.replace(temporary, self.path)
+        atomic_file.sync_directory(self.path.parent)
         self.close()
         self._descriptor = os.open(self.path, os.O_WRONLY | os.O_APPEND)
         self.size = os.fstat(self._descriptor).st_size
@@ -252,7 +230,12 @@
             os.close(self._descriptor)
             self._descriptor = CLOSED
 
-    def _remove_partial_frame(self) -> None:
+    def retire(self) -> None:
+        """Another process has the file: a rewrite that is still under way may not replace it."""
+        with self._replacing:
+            self._is_retired = True
+
+    def _remove_partial_frames(self) -> None:
         try:
             os.ftruncate(self._descriptor, self.size)
         except OSError:
@@ -260,12 +243,14 @@
 
 
 class _FileJournalRewrite:
-    """New content in a file beside the journal's; what is left of an earlier one is overwritten."""
+    """New content in a file beside the journal's; what is left of an earlier one is removed."""
 
     def __init__(self, journal: FileJournal) -> None:
         self.journal = journal
         self.temporary = atomic_file.temporary_path(journal.path)
-        self.file = open(self.temporary, "wb")  # noqa: SIM115 - it stays open over many calls
+        # Guards against an earlier process that still writes to the file of that name.
+        self.temporary.unlink(missing_ok=True)
+        self.file = open(self.temporary, "xb")  # noqa: SIM115 - it stays open over many calls
         self._write(journal.header(journal.version))
 
     def append(self, record: bytes) -> int:
