Endpoint list: its copy on disk is written in a thread, the newest list only

Change: the copy is written by a DiskWorker; while one is written only the newest list waits. The list is in force at once, as before; a copy that can't be written is counted and said as before.

Tests: test_endpoint_cache fails on the code before (the store takes no worker, and the copy is there when the call returns).

--- a/ochrecourse/gateway/daemon_parts.py
+++ b/ochrecourse/gateway/daemon_parts.py
@@ -168,6 +168,7 @@
             cache,
             seed,
             self.host.warn,
+            self.host.make_disk_worker("endpoint-cache"),
         )
         if "registry" in self.record:
             settings = self.record["registry"]
--- a/ochrecourse/membership/endpoint_list_store.py
+++ b/ochrecourse/membership/endpoint_list_store.py
@@ -4,7 +4,8 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from ochrecourse.common.runtime import Network, now_ns
@@ -16,6 +17,7 @@
     EndpointListUpdate,
 )
 from ochrecourse.storage.atomic_file import DamagedFileError
+from ochrecourse.storage.disk_worker import DiskWorker, InlineWorker
 from ochrecourse.wire.messages import EndpointEntry
 
 
@@ -28,7 +30,8 @@
     """What a watcher is given.
 
     `name`: this gateway's. `on_update` is called with each update of the list. `cache_path`: where the last
-    list is cached, None: nowhere. `seed` of the jitter. `warn` gets a line for operators.
+    list is cached, None: nowhere. `seed` of the jitter. `warn` gets a line for operators. `disk_worker`
+    writes the cache.
     """
 
     name: str
@@ -37,6 +40,7 @@
     cache_path: Path | None
     seed: int
     warn: Callable[[str], None] = _discard_warning
+    disk_worker: DiskWorker = field(default_factory=InlineWorker)
 
 
 class EndpointListStore:
@@ -55,6 +59,9 @@
         self.endpoint_list = EndpointList()
         self.counts: Counter[str] = Counter()
         self.cluster = 0
+        self._disk_worker = context.disk_worker
+        self._unsaved: EndpointListSnapshot | None = None  # newer than the one that is being written
+        self._is_saving = False
 
     def restore_cached_list(self) -> EndpointListSnapshot | None:
         """Applies the cached list and returns it; None if there is none that can be used."""
@@ -93,10 +100,22 @@
         return snapshot
 
     def _save_snapshot(self, path: Path, now: int) -> None:
-        snapshot = self.endpoint_list.snapshot(now)
-        snapshot.gateway, snapshot.cluster = self.name, self.cluster
-        try:
-            endpoint_cache.save(path, snapshot)
-        except OSError as error:
+        self._unsaved = self.endpoint_list.snapshot(now)
+        self._unsaved.gateway, self._unsaved.cluster = self.name, self.cluster
+        if not self._is_saving:
+            self._save_newest(path)
+
+    def _save_newest(self, path: Path) -> None:
+        """Writes the newest list; of those that come meanwhile only the last is written."""
+        snapshot, self._unsaved = self._unsaved, None
+        if snapshot is not None:
+            self._is_saving = True
+            save = partial(endpoint_cache.save, path, snapshot)
+            self._disk_worker.run(save, partial(self._saved, path))
+
+    def _saved(self, path: Path, error: OSError | None) -> None:
+        self._is_saving = False
+        if error is not None:
             self.counts["lists not kept"] += 1
             self.warn(f"the list of nodes could not be kept: {error}")
+        self._save_newest(path)
