--- a/ochrecourse/cli/gateway_process.py
+++ b/ochrecourse/cli/gateway_process.py
@@ -170,8 +170,14 @@
         )
         self.reactor.run(installSignalHandlers=False)
         if not self.failure:
-            received, dropped = daemon.gateway.request_log.received, self.log_writer.dropped
-            self.log.info("left", jobs=received, log_lines_dropped=dropped)
+            figures = daemon.figures()
+            self.log.info(
+                "left",
+                jobs=daemon.gateway.request_log.received,
+                log_lines_dropped=self.log_writer.dropped,
+                loop_late_worst_ms=round(1000 * figures["loop_late_worst_seconds"]),
+                journal_sync_worst_ms=round(1000 * figures["journal_sync_worst_seconds"]),
+            )
         self.log_writer.close()
         if self.failure:
             raise StartError(f"ochrecourse: nothing was taken over: {self.failure}", EXIT_NOT_STARTED)
--- a/ochrecourse/fleet/event_appender.py
+++ b/ochrecourse/fleet/event_appender.py
@@ -13,7 +13,7 @@
 
 
 class EventAppender:
-    """`wall_ms`: ms since 1970. `on_appended` is called after each append, to send it to the peers."""
+    """`wall_ms`: ms since 1970. `on_appended` is called after one or more appends, to send them to peers."""
 
     def __init__(
         self,
@@ -29,6 +29,8 @@
         self.counts: Counter[str] = Counter()
         self.stopped = False
         self._last_refusal = ""
+        self._is_sending_due = False
+        log_store.on_reported = self._send_appended
 
     def append(self, channel: str, value: object, must: bool) -> Entry:
         """Appends an entry, and blocks until it is durable; with `must` a full channel takes it too. Raises
@@ -41,6 +43,7 @@
             self._refused(channel, str(error))
             raise
         self._appended()
+        self._send_appended()
         return entry
 
     def request_append(self, channel: str, value: object, must: bool, on_result: OnAppended) -> None:
@@ -83,7 +86,13 @@
     def _appended(self) -> None:
         self._last_refusal = ""
         self.counts["appends"] += 1
-        self.on_appended()
+        self._is_sending_due = True
+
+    def _send_appended(self) -> None:
+        """Sends what was appended; what one sync made durable goes together."""
+        if self._is_sending_due:
+            self._is_sending_due = False
+            self.on_appended()
 
     def _refused(self, channel: str, reason: str) -> None:
         self.counts["appends refused"] += 1
--- a/ochrecourse/fleet/journal_writer.py
+++ b/ochrecourse/fleet/journal_writer.py
@@ -54,7 +54,8 @@
 class JournalContent:
     """What the writer asks its owner. `records`: all that stays, captured as the call is made;
     `renewal` makes a rewrite in steps; `failed` is called with an error after which nothing that waited is
-    durable, `noted` with one that harms nothing; `rewritten`: the journal has just `records` again.
+    durable, `noted` with one that harms nothing; `rewritten`: the journal has just `records` again;
+    `reported`: all who waited for an operation were notified.
     """
 
     records: Callable[[], Iterator[bytes]]
@@ -62,6 +63,7 @@
     failed: Callable[[OSError], None]
     noted: Callable[[OSError], None]
     rewritten: Callable[[], None]
+    reported: Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -397,6 +399,7 @@
         while self._unreported:
             request, error = self._unreported.popleft()
             request(error)
+        self.content.reported()
 
 
 def _stalled_error() -> OSError:
--- a/ochrecourse/fleet/kept.py
+++ b/ochrecourse/fleet/kept.py
@@ -62,6 +62,10 @@
     return 0
 
 
+def _do_nothing() -> None:
+    """For logs whose entries nobody sends on."""
+
+
 def _ignore(error: OSError | None) -> None:
     """For what nobody waits for."""
 
@@ -114,6 +118,7 @@
         self._promised = Stamp(0, 0)
         self._promised_durably = Stamp(0, 0)
         self._told_promise = Stamp(0, 0)
+        self.on_reported: Callable[[], None] = _do_nothing  # after the results of one or more appends
         self.is_beginning = False  # a new life is being written down
         self._spent = 0  # bytes of records that a new journal would not have
         self._forgot = 0  # of the log, when the journal was last begun anew
@@ -126,6 +131,7 @@
             self._failed,
             self._note,
             self._rewritten,
+            self._reported,
         )
         self.writer = JournalWriter(journal, content, clock)
         self.writer.repair()
@@ -362,6 +368,9 @@
 
     # --- what the writer tells ---
 
+    def _reported(self) -> None:
+        self.on_reported()
+
     def _rewritten(self) -> None:
         self._spent, self._forgot = -self.log.freed, self.log.forgot
 
--- a/ochrecourse/fleet/member_report.py
+++ b/ochrecourse/fleet/member_report.py
@@ -50,6 +50,7 @@
             "forks": sorted(log.forks.values()),
             "notes": [*log.notes, *self.common.kept.notes],
             "mistakes": dict(self.links.peer_errors),
+            "disk": self._disk(),
             **status_reports(self.subsystems),
         }
 
@@ -67,11 +68,24 @@
             "silent_s": round((now - last_received_at) / SECOND, 3),
         }
 
+    def _disk(self) -> dict[str, Any]:
+        """What of the journal waits for the disk."""
+        writer = self.common.kept.writer
+        waiting = writer.waiting()
+        return {
+            "records": waiting.records,
+            "bytes": waiting.size,
+            "oldest_s": round(waiting.oldest_ns / SECOND, 3),
+            "answers": not writer.is_stalled,
+        }
+
     def metrics(self) -> dict[str, float]:
         """Values by metric name."""
         now = now_ns(self.clock)
         log, members = self.common.log, self.common.members
         traffic = self.links.traffic()
+        writer = self.common.kept.writer
+        waiting = writer.waiting()
         values: dict[str, float] = {
             "fleet_links": len(self.links.by_peer),
             "fleet_members": len(members.names()),
@@ -83,6 +97,10 @@
             'fleet_bytes_total{way="out"}': traffic.bytes_out,
             'fleet_frames_total{way="in"}': traffic.frames_in,
             'fleet_frames_total{way="out"}': traffic.frames_out,
+            "fleet_journal_waiting_records": waiting.records,
+            "fleet_journal_waiting_bytes": waiting.size,
+            "fleet_journal_oldest_wait_seconds": waiting.oldest_ns / SECOND,
+            "fleet_journal_answers": float(not writer.is_stalled),
             "fleet_appends_total": self.counts["appends"],
             "fleet_appends_refused_total": self.counts["appends refused"],
         }
--- a/ochrecourse/gateway/daemon_status.py
+++ b/ochrecourse/gateway/daemon_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from math import inf
 from typing import Any
 
 import msgspec
@@ -17,6 +18,7 @@
 from ochrecourse.membership.conflicts import find_conflicts
 from ochrecourse.membership.registry_watcher import RegistryWatcher
 from ochrecourse.nodes.outcome import AttemptEvent
+from ochrecourse.storage.journal import SYNC_BUCKETS_S
 
 RECENT_LAG = 2 * SECOND  # ns in which a late event loop counts for the status
 
@@ -106,6 +108,7 @@
         figures = {
             **self._request_figures(),
             **self._endpoint_figures(),
+            **self._journal_figures(),
             **self._outcome_figures(),
             **self._bgp_figures(),
         }
@@ -145,11 +148,20 @@
             "list_epoch": endpoint_list.epoch,
             "list_gaps_total": endpoint_list.gaps,
             "loop_late_worst_seconds": gateway.event_loop_lag.worst / SECOND,
-            "journal_sync_worst_seconds": max(
-                (journal.worst_sync_s for journal in self.file_journals.values()), default=0.0
-            ),
         }
 
+    def _journal_figures(self) -> dict[str, float]:
+        journals = self.file_journals
+        worst_s = max((journal.worst_sync_s for journal in journals.values()), default=0.0)
+        figures: dict[str, float] = {"journal_sync_worst_seconds": worst_s}
+        for name, journal in journals.items():
+            for bucket_s, count in zip(SYNC_BUCKETS_S, journal.sync_counts, strict=True):
+                bound = "+Inf" if bucket_s == inf else f"{bucket_s:g}"
+                figures[f'journal_sync_seconds_bucket{{journal="{name}",le="{bound}"}}'] = count
+            figures[f'journal_sync_seconds_count{{journal="{name}"}}'] = journal.sync_counts[-1]
+            figures[f'journal_sync_seconds_sum{{journal="{name}"}}'] = journal.sync_seconds
+        return figures
+
     def _outcome_figures(self) -> dict[str, float]:
         log = self.gateway.request_log
         figures: dict[str, float] = {}
--- a/ochrecourse/storage/journal.py
+++ b/ochrecourse/storage/journal.py
@@ -12,7 +12,9 @@
 import os
 import threading
 import time
+from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator, Sequence
+from math import inf
 from pathlib import Path
 
 from ochrecourse.common.errors import OchrecourseError
@@ -23,7 +25,8 @@
 
 CLOSED = -1  # in place of a file descriptor
 MAX_HEADER_BYTES = 200
-SLOW_SYNC_S = 0.1  # for which a sync holds up all else in the process
+SLOW_SYNC_S = 0.1
+SYNC_BUCKETS_S = (0.001, 0.01, 0.1, 1.0, 10.0, inf)  # of the histogram of syncs
 
 
 class JournalError(OchrecourseError):
@@ -95,7 +98,8 @@
     Versions from `version` to `newest_version` can be read; a new file is in `version`, an existing one stays
     in its own until that is set. `damage_reports` have a line for each damage that was found. `size`: bytes
     of the file. `broken`: after a failure that only a rewrite can repair. `on_slow_sync` is called with the
-    time, in s, of each sync that took longer than SLOW_SYNC_S; `worst_sync_s`: the longest so far.
+    time, in s, of each sync that took longer than SLOW_SYNC_S, on the thread that syncs; `worst_sync_s`: the
+    longest so far; `sync_counts`: how many took up to each of SYNC_BUCKETS_S, the last one any time.
     """
 
     def __init__(self, path: Path, name: str, version: int, newest_version: int = 0) -> None:
@@ -108,6 +112,8 @@
         self.broken = False
         self.on_slow_sync: Callable[[float], None] = lambda seconds: None
         self.worst_sync_s = 0.0
+        self.sync_counts = [0] * len(SYNC_BUCKETS_S)
+        self.sync_seconds = 0.0
         self._descriptor = CLOSED
         self._replacing = threading.Lock()
         self._is_retired = False
@@ -198,6 +204,9 @@
         finally:
             took_s = time.monotonic() - began
             self.worst_sync_s = max(self.worst_sync_s, took_s)
+            self.sync_seconds += took_s
+            for position in range(bisect_left(SYNC_BUCKETS_S, took_s), len(SYNC_BUCKETS_S)):
+                self.sync_counts[position] += 1
             if took_s > SLOW_SYNC_S:
                 self.on_slow_sync(took_s)
 
