--- a/tests/restart_soak.py
+++ b/tests/restart_soak.py
@@ -22,7 +22,7 @@
 import tomllib
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 from test_service import FLAT, listed
@@ -35,7 +35,7 @@
 KILL_DELAY_S = 0.7  # after the longest deadline, the earliest that the platform's page allows
 KILL_AFTER_TERM_S = LONGEST_DEADLINE_MS / 1000 + KILL_DELAY_S
 TAKEN_AFTER_TERM_S = 0.7  # a request that came later after SIGTERM may find the kill
-LATE_S = 0.5  # an answer later than this after its time is lost
+LATE_S = 0.5  # STANDING: an answer later than this after its time is lost
 GONE_S = 0.1  # no attempt begins later than this after its client closed
 READY_S = 10.0
 READY_SHARE = 0.9
@@ -333,6 +333,7 @@
     seed: int
     breaches: list
     counts: Counter
+    folder: Path | None = None  # what the run left, where it broke
 
 
 def play(plan):
@@ -540,10 +541,22 @@
 def soak(seed):
     """Plays and judges the run of a seed."""
     plan = draw(seed)
-    breaches, counts = Judge(play(plan)).verdict()
+    evidence = play(plan)
+    breaches, counts = Judge(evidence).verdict()
     counts["crowds"] = int(plan.crowd > 0)
     counts["SIGHUP"] = sum(4 if step.action == "hups" else step.action == "term" for step in plan.steps)
-    return Report(seed, breaches, counts)
+    return Report(seed, breaches, counts, keep(plan, evidence, breaches) if breaches else None)
+
+
+def keep(plan, evidence, breaches):
+    """Writes what a run left into a folder of its own."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
+    left = {"plan": asdict(plan), "breaches": breaches, "came": evidence.came, "grown": evidence.grown}
+    lives = [[asdict(life) for life in each] for each in evidence.lives]
+    (folder / "evidence.json").write_text(
+        json.dumps({**left, "lives": lives, "events": evidence.events}, indent=1)
+    )
+    return folder
 
 
 def main():
@@ -556,6 +569,8 @@
         print(f"seed {seed}: {'BROKE' if report.breaches else 'kept'}, {dict(report.counts)}", flush=True)
         for text in report.breaches[:10]:
             print(f"    {text}", flush=True)
+        if report.folder:
+            print(f"    {report.folder}; again: python tests/restart_soak.py {seed}", flush=True)
     print(f"{broke} runs broke; {dict(total)}")
     return 1 if broke else 0
 
--- a/tests/test_restart_soak.py
+++ b/tests/test_restart_soak.py
@@ -16,7 +16,7 @@
 def test_a_soak_of_restarts_keeps_the_rules(seed):
     report = soak(seed)
     print(dict(report.counts))
-    assert not report.breaches, report.breaches
+    assert not report.breaches, (report.breaches, report.folder)
     assert report.counts["answered value"] > 50 and report.counts["SIGTERM"]
 
 
