--- a/ochrecourse/fleet/kept.py
+++ b/ochrecourse/fleet/kept.py
@@ -225,12 +225,12 @@
     def give(self, on_given: Callable[[], None] = lambda: None) -> None:
         """Writes no more: another process may open the journal, once `on_given` is called. What was being
         written anew is dropped: put in place later, it would be over the other's."""
+        self.journal.retire()
         self.writer.close(ANOTHERS, on_given)
 
     def abandon(self) -> None:
-        """After `give`: the operation under way no longer counts, and may put no file in place."""
+        """After `give`: the operation under way no longer counts."""
         self.writer.abandon()
-        self.journal.retire()
 
     def check_stalled(self) -> None:
         """Refuses what waits for a disk that has stopped answering. To be called now and then."""
--- a/ochrecourse/gateway/daemon.py
+++ b/ochrecourse/gateway/daemon.py
@@ -108,7 +108,8 @@
             return
 
         def given() -> None:
-            if self.process_lock is not None:
+            # Not where this process has taken its place back meanwhile: then the lock is its own again.
+            if self.process_lock is not None and self.fleet_member is None:
                 self.process_lock.release()
             on_released()
 
