--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,10 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 python=$folder/../../.venv/bin/python
 test -x "$python" || exit 2
-"$python" -B "$folder/case.py"
+"$python" -B "$folder/case.py" &
+case=$!
+trap 'kill "$case" 2>/dev/null; wait "$case"; exit 2' TERM INT HUP
+wait "$case"
 case $? in
     0) exit 0 ;;
     3) exit 1 ;;
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -106,6 +106,9 @@
                     continue
                 self.commands.append((time.monotonic(), words))
                 self.record(f"node {self.name}: begins {words[0].decode()} id {words[2].decode()}")
+                if b"shard=%d," % self.shard not in words[3]:
+                    writer.write(b"-BUSY\r\n")  # turned away without running it
+                    continue
                 answer = await self.behaviour(words)
                 if answer is None:
                     self.record(f"node {self.name}: stays silent for id {words[2].decode()}")
@@ -326,7 +329,7 @@
     def encode(self) -> bytes:
         """Returns its bytes on a connection."""
         mark = f",k={self.key}" if self.key else ""
-        place = f"volume=00000003b4d60021,units=2,shard={self.shard},hosts=3"
+        place = f"volume=00000003b4d60021,units=2,shard={self.shard},hosts=2"
         fields = f"c={self.product},t={self.plan},d={self.timeout_ms}{mark},{place}"
         name = b"BLK.READ" if self.value is None else b"BLK.WRITE"
         words = [name, b"%016x" % (self.piece or self.number + 4096), b"%016x" % self.number, fields.encode()]
@@ -342,11 +345,14 @@
     record(f"disruption: {'yes' if trouble else 'no'}")
 
     async def limited() -> bool:
-        return await asyncio.wait_for(case(record, trouble), SCRIPT_LIMIT_S)
+        task = asyncio.ensure_future(case(record, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)  # ends the gateway too
+        return await asyncio.wait_for(task, SCRIPT_LIMIT_S)
 
     try:
         held = asyncio.run(limited())
-    except Exception as error:  # a mistake of the stand-ins says nothing about the rule
+    except (Exception, asyncio.CancelledError) as error:  # it says nothing about the rule
         record(f"not run: {type(error).__name__}: {error}")
         print(f"not run: {type(error).__name__}: {error}", file=sys.stderr)
         return NOT_RUN
