--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,9 @@
 REQUESTS = 80  # on one connection, each sent before the one ahead of it is answered
 REQUEST_EVERY_S = 0.06  # one request in this time, whether its bytes come at once or in two halves
 TIMEOUT_MS = 5000  # how long the client waits for each answer
-WORK_S = 0.5  # of the storage node for each request
+NODES = 8  # each holds a shard; the requests go to them in turn
+UNITS = 8  # of each read, the largest; a usual one has 2.07 and a mean work of 93 to 150 ms
+WORK_S = 0.5  # of a storage node for each: 8 / 2.07 of the usual is 0.36 to 0.58 s
 GRACE_S = 0.5  # an answer may come so much later than the client's time
 CROSSING_S = 0.05  # requests sent so shortly before the end of the connection was seen may have crossed it
 
@@ -27,9 +29,9 @@
         await asyncio.sleep(WORK_S)
         return platform.served(b"value of " + words[2])
 
-    node = platform.StorageNode("healthy", 0, record, healthy)
-    agent = platform.Agent([node])
-    for each in (node, agent):
+    nodes = [platform.StorageNode(f"n{shard}", shard, record, healthy) for shard in range(NODES)]
+    agent = platform.Agent(nodes)
+    for each in (*nodes, agent):
         await each.start()
     settings = platform.settings_of(
         {"Name": "history-export", "Aim": 1500.0, "Deadline": float(TIMEOUT_MS), "Writes": False},
@@ -54,7 +56,8 @@
 
         reading = asyncio.create_task(read_answers())
         requests = [
-            platform.Request(i, "history-export", TIMEOUT_MS, 0).encode() for i in range(1, REQUESTS + 1)
+            platform.Request(i, "history-export", TIMEOUT_MS, i % NODES, units=UNITS).encode()
+            for i in range(1, REQUESTS + 1)
         ]
         tail = b""  # the second half of the request that was begun in the last write
         for number, request in enumerate([*requests, b""], 1):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -69,7 +69,10 @@
         return platform.served(b"value of " + words[2])
 
     async def hanging(words: list[bytes]) -> bytes | None:
-        return None if trouble else await healthy(words)
+        if trouble:
+            return None
+        await asyncio.sleep(0.06)
+        return platform.served(b"value of " + words[2])
 
     nodes = [
         platform.StorageNode("healthy", HEALTHY, record, healthy),
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -23,6 +23,13 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 READY_LIMIT_S = 30.0  # the deployment page: a gateway is ready within this time
+SLOTS = 4  # requests that a storage node serves at once: two cores with two each
+OTHER_ANSWERS = {
+    b"PING": b"+PONG\r\n",
+    b"CLIENT": b"+OK\r\n",
+    b"SELECT": b"+OK\r\n",
+    b"INFO": b"-NOPERM\r\n",
+}
 SCRIPT_LIMIT_S = 110.0  # a script may run for 120 s
 EMPTY_LINE_S = 2.0  # of a watch on which nothing changes
 HELD, BROKEN, NOT_RUN = 0, 3, 2  # exit codes of a case.py; run.sh turns them into its own
@@ -84,12 +91,17 @@
 
 
 class StorageNode:
-    """A storage node that holds one shard. `behaviour` gives the answer to a command, None for silence."""
+    """A storage node that holds one shard. `behaviour` gives the answer to a command, None for silence.
+
+    Commands on a connection are begun as they come and answered in order; `SLOTS` run at once, the others in
+    turn of arrival.
+    """
 
     def __init__(self, name: str, shard: int, record: Record, behaviour: Behaviour) -> None:
         self.name, self.shard, self.record, self.behaviour = name, shard, record, behaviour
         self.commands: list[tuple[float, list[bytes]]] = []
         self.port = 0
+        self._slots = asyncio.Semaphore(SLOTS)
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -98,26 +110,38 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        answers: asyncio.Queue[asyncio.Task[bytes]] = asyncio.Queue()
+        sending = asyncio.create_task(self._send_in_order(answers, writer))
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
-                words = await read_command(reader)
-                if words[0] == b"PING":
-                    writer.write(b"+PONG\r\n")
-                    continue
-                self.commands.append((time.monotonic(), words))
-                self.record(f"node {self.name}: begins {words[0].decode()} id {words[2].decode()}")
-                if b"shard=%d," % self.shard not in words[3]:
-                    writer.write(b"-BUSY\r\n")  # turned away without running it
-                    continue
-                answer = await self.behaviour(words)
-                if answer is None:
-                    self.record(f"node {self.name}: stays silent for id {words[2].decode()}")
-                    await reader.read()  # the gateway's close ends the wait
-                    break
-                self.record(f"node {self.name}: ends id {words[2].decode()}: {answer[:24]!r}")
-                writer.write(answer)
+                answers.put_nowait(asyncio.create_task(self._answer(await read_command(reader))))
+        sending.cancel()  # what runs goes on, its answer is not sent
         writer.close()
 
+    async def _send_in_order(
+        self, answers: asyncio.Queue[asyncio.Task[bytes]], writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            writer.write(await asyncio.shield(await answers.get()))
+
+    async def _answer(self, words: list[bytes]) -> bytes:
+        name = words[0].upper()
+        if name not in (b"BLK.READ", b"BLK.WRITE"):
+            return OTHER_ANSWERS.get(name, b"-ERR unknown\r\n")
+        number = words[2].decode()
+        self.commands.append((time.monotonic(), words))
+        self.record(f"node {self.name}: {name.decode()} id {number} has come")
+        if b"shard=%d," % self.shard not in words[3] and b"shard=-1," not in words[3]:
+            return b"-BUSY\r\n"  # turned away without running it
+        async with self._slots:
+            answer = await self.behaviour(words)
+        if answer is None:
+            self.record(f"node {self.name}: stays silent for id {number}")
+            await asyncio.Event().wait()
+        assert answer is not None
+        self.record(f"node {self.name}: has run id {number}: {answer[:24]!r}")
+        return answer
+
     def entry(self) -> dict[str, Any]:
         """Its entry in the endpoint list."""
         return {
@@ -176,6 +200,8 @@
             probe.bind((HOST, 0))
             self.port = probe.getsockname()[1]
         self._path = Path(self.folder.name) / "config.json"
+        self._private = Path(self.folder.name) / "tmp"  # empty at the start
+        self._private.mkdir()
         self._environment = {
             "RELAY_NAME": "n0",
             "RELAY_LISTEN": f"{HOST}:{self.port}",
@@ -203,7 +229,7 @@
             deploy["run"],
             cwd=ROOT,
             stdin=asyncio.subprocess.DEVNULL,
-            env={**os.environ, **self._environment, "TMPDIR": self.folder.name},
+            env={**os.environ, **self._environment, "TMPDIR": str(self._private)},
         )
         until = time.monotonic() + READY_LIMIT_S
         while time.monotonic() < until and self.process.returncode is None:
@@ -278,7 +304,7 @@
             "ColdUnits": 40.0,
             "UsualUnits": 2.0,
             "UnitsTop": 8,
-            "SlotsTotal": 2,
+            "SlotsTotal": 8,
             "Meter": 0.0,
             "FairWorth": 0.3,
             "BeyondShare": 0.1,
@@ -325,11 +351,12 @@
     value: bytes | None = None
     key: str = ""
     plan: str = "standard"
+    units: int = 2
 
     def encode(self) -> bytes:
         """Returns its bytes on a connection."""
         mark = f",k={self.key}" if self.key else ""
-        place = f"volume=00000003b4d60021,units=2,shard={self.shard},hosts=2"
+        place = f"volume=00000003b4d60021,units={self.units},shard={self.shard},hosts=2"
         fields = f"c={self.product},t={self.plan},d={self.timeout_ms}{mark},{place}"
         name = b"BLK.READ" if self.value is None else b"BLK.WRITE"
         words = [name, b"%016x" % (self.piece or self.number + 4096), b"%016x" % self.number, fields.encode()]
