A client's command has its own time; requests sent in pieces are served

Cause: the timer for a partial command was stopped only by a read that ended between two commands. A read that completes one command and begins the next left it running, so that it measured how long some command was partial, from the connection's start even.

Evidence: a probe at the code before tells the time-out 2.20 s after the connection and 0.03 s after the last of 36 commands was complete, with 34 unanswered of 2,048 that are allowed and all nodes healthy.

Fix: CommandTimer holds the time of the current command; a complete command ends it, what follows in the same read begins a new one. A first command is not charged with the silence before it either; it is due 2.8 s after the connection, so that the error of a client that stops still comes within 3 s.

--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -21,12 +21,12 @@
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.resp.codec import CommandParser, RespProtocolError, encode_bulk_string
+from ochrecourse.resp.command_timer import CommandTimer
 from ochrecourse.resp.commands import RequestClasses, parse_command
 from ochrecourse.resp.lingering_close import LingeringClose
 from ochrecourse.resp.pipeline import CommandPipeline, PipelineTotals, ReplySlot
 
 COMMANDS_PER_ITERATION = 256  # of one connection per event loop iteration, some ms, so that none starves
-COMMAND_TIMEOUT_SECONDS = 2.2  # for a first command and for a partial one; the error is due within 3 s
 
 PONG_REPLY = b"+PONG\r\n"
 BUSY_REPLY = b"-BUSY\r\n"
@@ -90,7 +90,7 @@
         self.rejecting = False  # late in the shutdown: requests that have not started are rejected
         self.processing = False  # guards against re-entry while commands are parsed or started
         self.idle_since = 0.0  # clock time in s
-        self._command_timer: Timer | None = None
+        self._command_timer = CommandTimer(self.clock, self._command_timed_out)
         self._iteration_timer: Timer | None = None
 
     # --- Twisted callbacks ---
@@ -101,7 +101,7 @@
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)  # before any write: a reset discards delayed data
         self.transport.registerProducer(self, True)
-        self._command_timer = self.clock.callLater(COMMAND_TIMEOUT_SECONDS, self._command_timed_out)
+        self._command_timer.connection_opened()
         self.owner.connection_opened(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -123,9 +123,9 @@
         self.gateway.cancel_all(request_ids)
 
     def _stop_timers(self) -> None:
-        stop(self._command_timer)
+        self._command_timer.stop()
         stop(self._iteration_timer)
-        self._command_timer = self._iteration_timer = None
+        self._iteration_timer = None
 
     # --- commands ---
 
@@ -150,12 +150,16 @@
             if arguments is None:
                 self._resume_reading()
                 return
-            if not self.first_command_received:
-                self.first_command_received = True
-                self.owner.connection_sent_command(self)
+            self._command_completed()
             self._handle_command(arguments)
         self._continue_reading_next_iteration()
 
+    def _command_completed(self) -> None:
+        self._command_timer.command_completed()
+        if not self.first_command_received:
+            self.first_command_received = True
+            self.owner.connection_sent_command(self)
+
     def _continue_reading_next_iteration(self) -> None:
         if not self.reading_paused:
             self.reading_paused = True
@@ -180,14 +184,9 @@
             self._advance()
 
     def _update_command_timer(self) -> None:
-        """Starts or stops the timer for the first command or a partial one."""
-        partial = self.parser.has_partial_message() and not self.reading_paused
-        waits = not self.first_command_received or partial
-        if waits and self._command_timer is None:
-            self._command_timer = self.clock.callLater(COMMAND_TIMEOUT_SECONDS, self._command_timed_out)
-        elif not waits and self._command_timer is not None:
-            stop(self._command_timer)
-            self._command_timer = None
+        """Starts or stops the time of a partial command; while reading is paused none of it counts."""
+        is_partial = self.parser.has_partial_message() and not self.reading_paused
+        self._command_timer.input_parsed(is_partial)
 
     def _handle_command(self, arguments: list[bytes]) -> None:
         pipeline = self.pipeline
@@ -229,7 +228,6 @@
     # --- protocol errors ---
 
     def _command_timed_out(self) -> None:
-        self._command_timer = None
         if not self.first_command_received and not self.parser.has_partial_message():
             self._fail(RespProtocolError("silent", "no command came"))
         else:
