Input that arrived while the event loop was blocked is read before a command times out

Seen by callers: after the gateway stood still for as long as a command's time-out, a client whose command was whole in the system's buffer is told half_command or silent, and its connection ends.

Cause: the event loop calls timers that are due before it reads sockets, so the time in which the gateway did not read counted as the client's.

Fix: a time-out takes effect two iterations after it is due; these read the 128 KiB that hold the longest command. A command that is completed by them stops the timer, as ever.

--- a/ochrecourse/resp/command_timer.py
+++ b/ochrecourse/resp/command_timer.py
@@ -1,7 +1,8 @@
 """The time-out of the command that a client is sending, or of its silence before the first one.
 
 Each command has its own time, from the read in which it began. The time ends with the command, also when the
-read that completes it brings the beginning of the next one.
+read that completes it brings the beginning of the next one. The event loop calls timers before it reads
+sockets, so after it was blocked, input that arrived in time is read before a command counts as timed out.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 SILENCE_TIMEOUT_SECONDS = 2.2  # from the connection's start to the first byte; the error is due within 3 s
 COMMAND_TIMEOUT_SECONDS = 2.2  # from a command's first byte to its last; the error is due within 3 s
 FIRST_COMMAND_SECONDS = 2.8  # from the connection's start to the last byte of the first command
+PENDING_READS = 2  # event loop iterations in which the rest of the longest command is read
 
 
 class CommandTimer:
@@ -61,8 +63,11 @@
         return max(0.0, min(COMMAND_TIMEOUT_SECONDS, time_left))
 
     def _start(self, seconds: float) -> None:
-        self._timer = self.clock.callLater(seconds, self._expired)
+        self._timer = self.clock.callLater(seconds, self._expired, PENDING_READS)
 
-    def _expired(self) -> None:
+    def _expired(self, reads_left: int) -> None:
         self._timer = None
+        if reads_left:
+            self._timer = self.clock.callLater(0, self._expired, reads_left - 1)
+            return
         self._on_timeout()
--- a/tests/test_command_times.py
+++ b/tests/test_command_times.py
@@ -1,7 +1,10 @@
 """The time that each message of a client has to become complete, and what is answered when it does not."""
 
 import pytest
-from test_service import PING, Shop, read, value
+from test_client_close import make_shop, read_available
+from test_service import PING, Shop, read, value, write
+
+__all__ = ["make_shop"]
 
 PIECE_SECONDS = 0.06  # between the halves of a command, far below the time that a command has
 ERROR_DUE_SECONDS = 3.0  # within which a client that stops in a command gets its error
@@ -61,3 +64,23 @@
     client.say(read(1)[:-9])
     shop.run(ERROR_DUE_SECONDS - silent_seconds)
     assert client.got.startswith(b"-ERR half_command") and client.ended
+
+
+@pytest.mark.parametrize("body_bytes", [10, 65_536])
+@pytest.mark.parametrize("read_before", [0, 20])
+def test_a_command_that_stands_unread_after_the_event_loop_was_blocked_is_in_time(
+    make_shop, body_bytes, read_before
+):
+    """Guards against counting the time in which the gateway did not read as the client's."""
+    shop = make_shop()
+    client, connection = shop.client()
+    command = write(1, body=b"x" * body_bytes, d=60_000)
+    if read_before:
+        shop.send(client, command[:read_before])
+        shop.loop.settle()
+    client.sendall(command[read_before:])
+    shop.loop.now += ERROR_DUE_SECONDS  # as after a loop that was blocked: no timer was called, nothing read
+    shop.loop.settle()
+    shop.loop.run_until(lambda: shop.node.commands and not shop.open)
+    shop.loop.settle()
+    assert read_available(client) == value(1) and connection.connected and not shop.server.counts
