--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -116,6 +116,7 @@
         if self.lingering_close is not None:
             self.lingering_close.connection_lost()
         self._stop_timers()
+        self._command_timer.connection_lost()
         self.parser = CommandParser()
         self.owner.connection_closed(self)
         self.pipeline.clear()
--- a/ochrecourse/resp/command_timer.py
+++ b/ochrecourse/resp/command_timer.py
@@ -55,6 +55,11 @@
         self._timer = None
         self._command_begun = False
 
+    def connection_lost(self) -> None:
+        """Stops the timer for good and releases the callback, so that no reference cycle remains."""
+        self.stop()
+        self._on_timeout = _ignore
+
     def _command_timeout(self) -> float:
         """Returns the time that a command has which begins now."""
         if self._first_command_completed:
@@ -71,3 +76,7 @@
             self._timer = self.clock.callLater(0, self._expired, reads_left - 1)
             return
         self._on_timeout()
+
+
+def _ignore() -> None:
+    """The callback of a connection that has ended."""
--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -134,6 +134,10 @@
             ready.append(slot.reply or b"")
         return ready
 
+    def awaits_replies(self) -> bool:
+        """Whether any command has no reply yet."""
+        return any(slot.reply is None for slot in self.slots)
+
     def reject_queued(self, reply: bytes) -> None:
         """Completes all queued requests with `reply`; none of them is started."""
         for slot in self.queued:
@@ -141,16 +145,6 @@
             slot.client_request_id, slot.queued_request = b"", None  # so that it does not count as running
         self._clear_queue()
 
-    def discard_from(self, slot: ReplySlot) -> None:
-        """Removes a running request that violated the protocol, and all later commands, unanswered."""
-        self.running -= 1
-        last = None
-        while last is not slot:
-            last = self.slots.pop()
-            self.totals.unanswered_commands -= 1
-            self.totals.release_request_id(last.client_request_id, last)
-        self._clear_queue()
-
     def clear(self) -> None:
         """Removes all commands when the client has disconnected."""
         for slot in self.slots:
--- a/tests/test_command_times.py
+++ b/tests/test_command_times.py
@@ -1,5 +1,8 @@
 """The time that each message of a client has to become complete, and what is answered when it does not."""
 
+import gc
+import weakref
+
 import pytest
 from test_client_close import make_shop, read_available
 from test_service import PING, Shop, read, value, write
@@ -84,3 +87,21 @@
     shop.loop.run_until(lambda: shop.node.commands and not shop.open)
     shop.loop.settle()
     assert read_available(client) == value(1) and connection.connected and not shop.server.counts
+
+
+def test_a_connection_that_has_ended_leaves_no_reference_cycle(make_shop):
+    """Guards against connections that stay in memory until a garbage collection."""
+    shop = make_shop()
+    client, connection = shop.client()
+    client.sendall(PING + read(1)[:-9])
+    shop.loop.settle()
+    connection = weakref.ref(connection)
+    gc.collect()
+    gc.disable()
+    try:
+        client.close()
+        shop.loop.run_until(lambda: not shop.server.connections)
+        shop.loop.settle()
+        assert connection() is None
+    finally:
+        gc.enable()
