Commands read whole behind a client's mistake are answered, not thrown away

Seen by callers: a connection that is to end for a protocol error stays open until the replies ahead of the error line are out; what a client sent whole in that time was read, thrown away and never answered.

Cause: RespClientConnection.dataReceived dropped all input as soon as protocol_error was set, and a request that its class or plan made a mistake of took those queued behind it along.

Fix: a command that is overdue is judged when its error line is next in order; if it is complete by then it is served, and nothing is between the line and the end. Behind a mistake after which the next command can still be found, whole commands get -BUSY in their places until the end, queued ones too. Input that can't be read, and what comes behind too many commands, is discarded as before: the one line tells so, and memory stays bounded.

Tests: test_a_command_that_is_late_behind_open_requests_and_what_follows_it_are_answered and test_whole_commands_behind_a_mistake_are_rejected_in_words (24 cases) failed before, all 25; they pass now, as do the tests of the error's place, of a flood behind a mistake, and the state machine of clients with its seven mistakes.

--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -3,7 +3,8 @@
 All input is read as it arrives, however many commands are unanswered. Otherwise a client's close, which comes
 after its bytes or is not even sent until they are read, would be noticed late. pipeline.py bounds what
 accumulates. A protocol error is reported in one error line after the pending replies, and ends only its own
-connection. A client that closes its connection or its sending side cancels all its requests.
+connection; complete commands that arrive behind it until then are rejected. A client that closes its
+connection or its sending side cancels all its requests.
 """
 
 from __future__ import annotations
@@ -83,14 +84,15 @@
         self.in_flight: dict[int, ReplySlot] = {}  # by the gateway's request id
         self.connected = False
         self.first_command_received = False
-        self.protocol_error: RespProtocolError | None = None
+        self.protocol_error: RespProtocolError | None = None  # reported behind the replies that are due
+        self.input_discarded = False  # further input is not parsed
         self.lingering_close: LingeringClose | None = None  # set while this side closes the connection
         self.write_blocked = False  # back-pressure: the client reads too slowly
         self.reading_paused = False  # complete commands may be buffered for the loop's next iteration
         self.rejecting = False  # late in the shutdown: requests that have not started are rejected
         self.processing = False  # guards against re-entry while commands are parsed or started
         self.idle_since = 0.0  # clock time in s
-        self._command_timer = CommandTimer(self.clock, self._command_timed_out)
+        self._command_timer = CommandTimer(self.clock, self._advance)
         self._iteration_timer: Timer | None = None
 
     # --- Twisted callbacks ---
@@ -106,7 +108,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parses received bytes (Twisted callback)."""
-        if self.protocol_error is None and self.lingering_close is None and self.connected:
+        if not self.input_discarded and self.connected:
             self.parser.feed(data)
             self._process_input()
 
@@ -132,15 +134,13 @@
 
     def _process_input(self) -> None:
         """Handles complete commands, at most `COMMANDS_PER_ITERATION`."""
-        if self.processing or self.protocol_error is not None:
-            return
-        if self.lingering_close is not None or not self.connected:
+        if self.processing or self.input_discarded or not self.connected:
             return
         self.processing = True
         try:
             self._parse_commands()
         except RespProtocolError as error:
-            self._fail(error)
+            self._end_input(error)
         finally:
             self.processing = False
         self._advance()
@@ -190,20 +190,33 @@
         self._command_timer.input_parsed(is_partial)
 
     def _handle_command(self, arguments: list[bytes]) -> None:
-        pipeline = self.pipeline
-        pipeline.check_command_limits()
+        """Queues or answers a command. Raises RespProtocolError if no further command can be accepted."""
+        self.pipeline.check_command_limits()
         if arguments[0].upper() == b"PING" and len(arguments) == 1:
-            pipeline.append(ReplySlot(reply=PONG_REPLY))
+            self.pipeline.append(ReplySlot(reply=PONG_REPLY))
+        elif self.protocol_error is not None:
+            self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
+        else:
+            self._handle_request(arguments)
+
+    def _handle_request(self, arguments: list[bytes]) -> None:
+        try:
+            slot = self._parse_request(arguments)
+        except RespProtocolError as error:
+            self.pipeline.append(ReplySlot(reply=self._fail(error)))
             return
+        if self.rejecting or not self.pipeline.enqueue(slot, self.write_blocked):
+            self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
+            return
+        self.owner.connection_busy(self)
+
+    def _parse_request(self, arguments: list[bytes]) -> ReplySlot:
+        """Returns the slot of a request that is not queued yet. Raises RespProtocolError."""
         request = parse_command(arguments, self.owner.request_classes, now_ns(self.clock))
         client_request_id = arguments[2]
-        if client_request_id in pipeline.totals.open_request_ids:
+        if client_request_id in self.pipeline.totals.open_request_ids:
             raise RespProtocolError("open_id", "the id of a request that is open")
-        slot = ReplySlot(client_request_id, queued_request=request)
-        if self.rejecting or not pipeline.enqueue(slot, self.write_blocked):
-            pipeline.append(ReplySlot(reply=BUSY_REPLY))
-            return
-        self.owner.connection_busy(self)
+        return ReplySlot(client_request_id, queued_request=request)
 
     def _start_queued(self) -> None:
         """Submits queued requests to the gateway, unless writing is blocked or too many are running."""
@@ -223,27 +236,37 @@
             if error.code == "late_body":
                 self.pipeline.complete(slot, TOO_LATE_REPLY)
             else:
-                self.pipeline.discard_from(slot)
-                self._fail(RespProtocolError(error.code, str(error)))
+                self.pipeline.complete(slot, self._fail(RespProtocolError(error.code, str(error))))
+                self.pipeline.reject_queued(BUSY_REPLY)
 
     # --- protocol errors ---
 
-    def _command_timed_out(self) -> None:
+    def _fail_overdue_command(self) -> None:
+        """Fails the connection once the error line is next in order; a command may be complete by then."""
+        if not self._command_timer.overdue or self.pipeline.awaits_replies():
+            return
         if not self.first_command_received and not self.parser.has_partial_message():
-            self._fail(RespProtocolError("silent", "no command came"))
+            error = RespProtocolError("silent", "no command came")
         else:
-            self._fail(RespProtocolError("half_command", "a command did not come whole in its time"))
-        self._advance()
+            error = RespProtocolError("half_command", "a command did not come whole in its time")
+        self._end_input(error)
+
+    def _end_input(self, error: RespProtocolError) -> None:
+        """Queues the error line after the pending replies, if it is the first, and discards further input."""
+        if self.protocol_error is None:
+            self.pipeline.append(ReplySlot(reply=self._fail(error)))
+        self._discard_input()
 
-    def _fail(self, error: RespProtocolError) -> None:
-        """Queues the error line after the pending replies and discards further input."""
+    def _fail(self, error: RespProtocolError) -> bytes:
+        """Records a protocol error, after which no request is accepted; returns the error line."""
         self.protocol_error = error
         self.owner.counts[error.code] += 1
-        self._discard_input()
-        self.pipeline.append(ReplySlot(reply=f"-ERR {error.code} {error}\r\n".encode()))
+        self._command_timer.stop()
+        return f"-ERR {error.code} {error}\r\n".encode()
 
     def _discard_input(self) -> None:
         """Discards buffered and further input, which is still read to detect the client's close."""
+        self.input_discarded = True
         self._stop_timers()
         self.parser = CommandParser()
         self._resume_reading()
@@ -259,11 +282,12 @@
             self._start_queued()
         finally:
             self.processing = False
+        self._fail_overdue_command()
         self._write_ready_replies()
         if not self.write_blocked and self.pipeline.can_start():
             self._schedule_iteration()
         if self.protocol_error is not None:
-            if not self.pipeline.slots:
+            if not self.pipeline.slots and not self.reading_paused:
                 self._begin_close()
         elif not (self.owner.shutting_down and self.close_if_idle()):
             self._update_command_timer()
--- a/ochrecourse/resp/command_timer.py
+++ b/ochrecourse/resp/command_timer.py
@@ -21,8 +21,9 @@
     """The time-out of one connection; all times are s of the clock."""
 
     def __init__(self, clock: Clock, on_timeout: Callable[[], None]) -> None:
-        """`on_timeout`: called when a command, or the first byte of one, did not arrive in its time."""
+        """`on_timeout`: called when `overdue` is set."""
         self.clock = clock
+        self.overdue = False  # the current command, or the first byte of one, did not arrive in its time
         self._on_timeout = on_timeout
         self._first_command_due = 0.0
         self._first_command_completed = False
@@ -53,7 +54,7 @@
         """Stops the timer."""
         stop(self._timer)
         self._timer = None
-        self._command_begun = False
+        self.overdue = self._command_begun = False
 
     def connection_lost(self) -> None:
         """Stops the timer for good and releases the callback, so that no reference cycle remains."""
@@ -75,6 +76,7 @@
         if reads_left:
             self._timer = self.clock.callLater(0, self._expired, reads_left - 1)
             return
+        self.overdue = True
         self._on_timeout()
 
 
--- a/tests/test_command_times.py
+++ b/tests/test_command_times.py
@@ -4,6 +4,8 @@
 import weakref
 
 import pytest
+from ochrecourse.resp import codec
+from ochrecourse.standins.resp_node import success_reply
 from test_client_close import make_shop, read_available
 from test_service import PING, Shop, read, value, write
 
@@ -89,6 +91,101 @@
     assert read_available(client) == value(1) and connection.connected and not shop.server.counts
 
 
+def replies_of(client):
+    """The replies that a client received, one by one."""
+    reader, replies = codec.ReplyParser(), []
+    reader.feed(client.got)
+    while (reply := reader.next()) is not None:
+        replies.append(reply[0])
+    return replies
+
+
+def answer_hanging(shop):
+    """Answers all commands that the node has left unanswered."""
+    for peer in list(shop.node.peers):
+        if peer.commands:
+            peer.transport.write(success_reply(peer.commands[-1]))
+
+
+LONG_DEADLINES = {"Classes.0.Deadline": "10000", "Classes.0.Aim": "9000"}
+
+
+def test_a_command_that_is_late_behind_open_requests_and_what_follows_it_are_answered():
+    """Guards against commands read whole and thrown away while the replies before a half command are awaited."""
+    shop = Shop(reply=lambda words: None, **LONG_DEADLINES)
+    client = shop.client()
+    client.say(read(1, d=10_000) + read(2, d=10_000)[:-9])
+    shop.run(2.5)  # more than the time of a command
+    client.say(read(2, d=10_000)[-9:] + read(3, d=10_000) + PING)
+    shop.run(0.2)
+    assert client.got == b"" and len(shop.node.commands) >= 2
+    shop.node.reply = success_reply
+    answer_hanging(shop)
+    shop.run(0.2)
+    assert client.got == value(1) + value(2) + value(3) + b"+PONG\r\n" and not client.ended
+
+
+def test_a_command_that_never_ends_behind_an_open_request_is_an_error_in_its_place():
+    """Guards against an error that comes before, or not with, the reply to the request ahead of it."""
+    shop = Shop(reply=lambda words: None, **LONG_DEADLINES)
+    client = shop.client()
+    client.say(read(1, d=10_000) + read(2, d=10_000)[:-9])
+    shop.run(4.0)
+    assert client.got == b"" and not client.ended
+    answer_hanging(shop)
+    shop.run(0.2)
+    assert client.got.startswith(value(1) + b"-ERR half_command ") and client.ended
+
+
+MISTAKES = {
+    "unknown_command": codec.encode_command([b"FLUSHALL"]),
+    "bad_arity": codec.encode_command([b"BLK.READ", b"0" * 16]),
+    "bad_field": read(90).replace(b"d=900", b"d=xyz"),
+    "unknown_product": read(90, product="nope"),
+    "unknown_plan": read(90).replace(b"t=p0", b"t=q0"),
+    "open_id": read(1),
+}
+
+
+@pytest.mark.parametrize("requests_ahead", [1, 40])
+@pytest.mark.parametrize("later", [False, True])
+@pytest.mark.parametrize("code", MISTAKES)
+def test_whole_commands_behind_a_mistake_are_rejected_in_words(code, later, requests_ahead):
+    """Guards against commands read whole behind a client's mistake and never answered."""
+    shop = Shop(reply=lambda words: None, **LONG_DEADLINES)
+    client = shop.client()
+    ahead = b"".join(read(number, d=10_000) for number in range(1, requests_ahead + 1))
+    behind = read(101) + PING + read(102)
+    client.say(ahead + MISTAKES[code] + (b"" if later else behind))
+    shop.run(0.2)
+    if later:
+        client.say(behind)
+        shop.run(0.2)
+    for _ in range(requests_ahead):
+        answer_hanging(shop)
+        shop.run(0.2)
+    *served, error, first, pong, second = replies_of(client)
+    assert len(served) == requests_ahead and all(isinstance(each, bytes) for each in served)
+    assert error.text.startswith(b"ERR " + code.encode())
+    assert (first, pong, second) == (codec.ErrorReply(b"BUSY"), codec.SimpleString(b"PONG"), first)
+    assert client.ended and shop.service.server.counts == {code: 1}
+    assert not {b"%016x" % number for number in (90, 101, 102)} & {words[2] for words in shop.node.commands}
+    totals = shop.service.server.totals
+    assert not totals.unanswered_commands and not totals.queued_bytes and not totals.open_request_ids
+
+
+def test_a_flood_behind_a_mistake_does_not_keep_its_connection_open():
+    """Guards against a connection whose end waits for a client that never stops sending."""
+    shop = Shop()
+    client = shop.client()
+    client.say(MISTAKES["unknown_command"])
+    for _ in range(100):
+        if not client.ended:
+            client.say(PING * 200)
+        shop.run(0.01)
+    assert client.got.startswith(b"-ERR unknown_command") and not shop.service.server.connections
+
+
 def test_a_connection_that_has_ended_leaves_no_reference_cycle(make_shop):
     """Guards against connections that stay in memory until a garbage collection."""
     shop = make_shop()
