--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -135,7 +135,7 @@
 
     def _limit_deadline(self, attempt: OutgoingAttempt, deadline: int) -> None:
         if attempt.write_progress() is WriteProgress.NOTHING:
-            # What the node is told is how long this side waits for its answer.
+            # The timeout in the message is how long this side waits for the response.
             attempt.message.timeout_ms = round(max(0, deadline - attempt.sent_at) / MS, 3)
             attempt.write_before = min(attempt.write_before or deadline, deadline)
         stop(attempt.response_timer)
