Framed messages, fleet links and WebDAV read what has arrived before a message times out

Seen by callers: after a gateway stood still for as long as a message may take, a client's framed message or a peer's frame that is whole in the system's buffer is refused as slow and its connection ends, with the peer's error counted against it; a WebDAV request gets 408.

Cause: the event loop calls timers that are due before it reads sockets.

Fix: common/input_timer.py, one time-out for all of them: it takes effect after the iterations that the longest message takes to read. The platform's command timer uses it too, in place of its own count.

--- a/ochrecourse/fleet/link.py
+++ b/ochrecourse/fleet/link.py
@@ -17,8 +17,9 @@
 
 from ochrecourse.fleet.entries import Entry
 from ochrecourse.fleet.exchange import Exchange
-from ochrecourse.fleet.messages import MAX_HEADER_BYTES, SLOW, PeerProtocolError
-from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
+from ochrecourse.fleet.messages import MAX_BODY_BYTES, MAX_HEADER_BYTES, SLOW, PeerProtocolError
+from ochrecourse.common.input_timer import InputTimer
+from ochrecourse.common.runtime import Clock, now_ns
 
 MESSAGE_TIMEOUT_S = 5.0  # for a partial header line or body; only its own connection waits for a slow sender
 CLOSE_TIMEOUT_S = 1.0  # for a peer to read why a link ends, before the connection is aborted
@@ -61,7 +62,7 @@
         self.frames_out = 0
         self._body: list[bytes] = []
         self._missing_bytes = -1  # bytes of the body still to be received; below 0: a header is next
-        self._partial_timer: Timer | None = None
+        self._partial_timer = InputTimer(clock, MAX_HEADER_BYTES + MAX_BODY_BYTES)
 
     def pump(self) -> None:
         """Sends frames of the exchange until there are none or the transport pauses."""
@@ -73,7 +74,7 @@
 
     def has_partial_frame(self) -> bool:
         """Whether a frame has been received in part."""
-        return self._partial_timer is not None
+        return self._partial_timer.is_running()
 
     def close(self, reason: str) -> None:
         """Ends the link with a goodbye."""
@@ -132,8 +133,7 @@
     def connectionLost(self, reason: Any = None) -> None:
         """Twisted: the connection has ended."""
         self.is_connected = False
-        stop(self._partial_timer)
-        self._partial_timer = None
+        self._partial_timer.stop()
         self.owner.ended(self, self.close_reason or "the connection ended", self.violation)
 
     def dataReceived(self, data: bytes) -> None:
@@ -142,16 +142,16 @@
             return
         super().dataReceived(data)
         partial = self._missing_bytes >= 0 or bool(self._buffer)
-        if partial and self._partial_timer is None:
-            self._partial_timer = self.clock.callLater(MESSAGE_TIMEOUT_S, self._partial_timed_out)
+        if partial and not self._partial_timer.is_running():
+            self._partial_timer.start(MESSAGE_TIMEOUT_S, self._partial_timed_out)
         elif not partial:
-            self._stop_partial_timer()
+            self._partial_timer.stop()
 
     def lineReceived(self, line: bytes) -> None:
         """Twisted: a header line was received."""
         if self.close_reason:
             return
-        self._stop_partial_timer()
+        self._partial_timer.stop()
         try:
             body_size = self.exchange.header_received(line, now_ns(self.clock))
         except PeerProtocolError as violation:
@@ -172,7 +172,7 @@
         self._missing_bytes -= len(chunk)
         if self._missing_bytes == 0:
             body, self._body, self._missing_bytes = b"".join(self._body), [], -1
-            self._stop_partial_timer()
+            self._partial_timer.stop()
             self._frame_complete(body)
             self.setLineMode(rest)
 
@@ -198,15 +198,10 @@
             self.abort(exchange.end_reason)
 
     def _partial_timed_out(self) -> None:
-        self._partial_timer = None
         self.fail(
             PeerProtocolError(SLOW, f"a frame that was begun was not whole after {MESSAGE_TIMEOUT_S:g} s")
         )
 
-    def _stop_partial_timer(self) -> None:
-        timer, self._partial_timer = self._partial_timer, None
-        stop(timer)
-
 
 class PeerDialer(ClientFactory):
     """Opens one connection to a peer; `on_failure` is called if that fails."""
--- a/ochrecourse/gateway/client_connection.py
+++ b/ochrecourse/gateway/client_connection.py
@@ -16,6 +16,7 @@
 from zope.interface import implementer
 
 from ochrecourse.common.requests import BadRequestError, Request
+from ochrecourse.common.input_timer import InputTimer
 from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
 from ochrecourse.common.time_units import MS
 from ochrecourse.gateway.gateway import Gateway
@@ -54,7 +55,7 @@
         self.request_ids: dict[int, int] = {}  # the gateway's request id by the client's id
         self.write_blocked = False  # the transport is full; LineReceiver's `paused` is for input
         self.unconsumed: dict[int, int] = {}  # bytes by request, written while the transport was full
-        self.hello_timer: Timer | None = None
+        self.hello_timer = InputTimer(factory.clock, m.MAX_HEADER_BYTES)
 
     def connection_ready(self) -> None:
         """Sends the gateway's hello, or refuses the connection over the limit."""
@@ -64,16 +65,17 @@
             self.fail_connection("too_many_connections", "this gateway has all the connections it takes")
             return
         self.factory.connections[self] = None
-        self.hello_timer = self.clock.callLater(
-            MESSAGE_TIMEOUT_S, self.fail_connection, "no_hello", "no hello came"
-        )
+        self.hello_timer.start(MESSAGE_TIMEOUT_S, self._hello_timed_out)
         self.transport.registerProducer(self, True)
         self.send_message(m.Hello(version=m.PROTOCOL_VERSION, role="gateway", name=self.gateway.name))
 
+    def _hello_timed_out(self) -> None:
+        self.fail_connection("no_hello", "no hello came")
+
     def message_received(self, message: m.AnyMessage, body: bytes, stream_state: StreamState | None) -> None:
         """Handles a complete message."""
         if isinstance(message, m.Hello):
-            stop(self.hello_timer)
+            self.hello_timer.stop()
         elif isinstance(message, m.SubmitRequest):
             self._request_received(message, body)
         elif isinstance(message, m.BodyChunk):
@@ -218,7 +220,7 @@
         """Cancels all requests of a connection that has ended."""
         self.factory.connections.pop(self, None)
         self.factory.connections_closed += 1
-        stop(self.hello_timer)
+        self.hello_timer.stop()
         if self.failure is not None:
             self.factory.counts[f"connections ended: {self.failure.code}"] += 1
         for upload in self.uploads.values():
--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -19,6 +19,10 @@
 MAX_LENGTH_LINE_BYTES = 16  # of a line with a count or a length; the largest length needs far fewer
 MAX_REPLY_LINE_BYTES = 512  # of a simple string or error; several times usage figures and a load report
 MAX_OTHER_BULKS_BYTES = 2048  # of all other bulk strings of a message: ids, fields, usage figures
+# Of a command: its bulk strings, and their lengths in lines with a type byte and a line end.
+MAX_COMMAND_BYTES = (
+    MAX_COMMAND_BULK_BYTES + MAX_OTHER_BULKS_BYTES + (MAX_COMMAND_ARGUMENTS + 1) * (MAX_LENGTH_LINE_BYTES + 4)
+)
 CARRIAGE_RETURN = 13
 COMMAND_TYPE = 42  # `*`, the first byte of a command
 BULK_TYPE = 36  # `$`, the first byte of each argument
--- a/ochrecourse/resp/command_timer.py
+++ b/ochrecourse/resp/command_timer.py
@@ -1,20 +1,20 @@
 """The time-out of the command that a client is sending, or of its silence before the first one.
 
 Each command has its own time, from the read in which it began. The time ends with the command, also when the
-read that completes it brings the beginning of the next one. The event loop calls timers before it reads
-sockets, so after it was blocked, input that arrived in time is read before a command counts as timed out.
+read that completes it brings the beginning of the next one.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from ochrecourse.common.runtime import Clock, Timer, stop
+from ochrecourse.common.input_timer import InputTimer
+from ochrecourse.common.runtime import Clock
+from ochrecourse.resp.codec import MAX_COMMAND_BYTES
 
 SILENCE_TIMEOUT_SECONDS = 2.2  # from the connection's start to the first byte; the error is due within 3 s
 COMMAND_TIMEOUT_SECONDS = 2.2  # from a command's first byte to its last; the error is due within 3 s
 FIRST_COMMAND_SECONDS = 2.8  # from the connection's start to the last byte of the first command
-PENDING_READS = 2  # event loop iterations in which the rest of the longest command is read
 
 
 class CommandTimer:
@@ -28,12 +28,12 @@
         self._first_command_due = 0.0
         self._first_command_completed = False
         self._command_begun = False  # the timer is that of a partial command
-        self._timer: Timer | None = None
+        self._timer = InputTimer(clock, MAX_COMMAND_BYTES)
 
     def connection_opened(self) -> None:
         """Starts the time of the silence before the first command."""
         self._first_command_due = self.clock.seconds() + FIRST_COMMAND_SECONDS
-        self._start(SILENCE_TIMEOUT_SECONDS)
+        self._timer.start(SILENCE_TIMEOUT_SECONDS, self._timed_out)
 
     def command_completed(self) -> None:
         """Ends the time of a command that is complete; what follows it has its own."""
@@ -48,12 +48,11 @@
         elif not self._command_begun:
             self.stop()
             self._command_begun = True
-            self._start(self._command_timeout())
+            self._timer.start(self._command_timeout(), self._timed_out)
 
     def stop(self) -> None:
         """Stops the timer."""
-        stop(self._timer)
-        self._timer = None
+        self._timer.stop()
         self.overdue = self._command_begun = False
 
     def connection_lost(self) -> None:
@@ -68,14 +67,7 @@
         time_left = self._first_command_due - self.clock.seconds()
         return max(0.0, min(COMMAND_TIMEOUT_SECONDS, time_left))
 
-    def _start(self, seconds: float) -> None:
-        self._timer = self.clock.callLater(seconds, self._expired, PENDING_READS)
-
-    def _expired(self, reads_left: int) -> None:
-        self._timer = None
-        if reads_left:
-            self._timer = self.clock.callLater(0, self._expired, reads_left - 1)
-            return
+    def _timed_out(self) -> None:
         self.overdue = True
         self._on_timeout()
 
--- a/ochrecourse/webdav/server.py
+++ b/ochrecourse/webdav/server.py
@@ -20,6 +20,7 @@
 from zope.interface import implementer
 
 from ochrecourse.common import requests
+from ochrecourse.common.input_timer import InputTimer
 from ochrecourse.common.runtime import Network, Timer, now_ns, stop
 from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.webdav import bodies
@@ -697,7 +698,7 @@
         self.counts: Counter[str] = Counter()
         self.request_count = 0
         self.closed = 0  # connections closed so far
-        self._sweep_timer: Timer | None = None
+        self._sweep_timer = InputTimer(network, limits.max_header_bytes + bodies.MAX_BODY_BYTES)
 
     def check_rate(self, rate_limiter: RateLimiter, now: int) -> None:
         """Counts a request against its connection's rate. Raises Reply if the rate is exceeded."""
@@ -713,12 +714,11 @@
 
     def schedule_sweep(self) -> None:
         """Schedules the next check for slow and idle connections."""
-        if self._sweep_timer is None:
-            self._sweep_timer = self.network.callLater(SWEEP_INTERVAL_S, self._sweep_connections)
+        if not self._sweep_timer.is_running():
+            self._sweep_timer.start(SWEEP_INTERVAL_S, self._sweep_connections)
 
     def _sweep_connections(self) -> None:
         """Closes connections whose requests arrive too slowly, and those that are idle for too long."""
-        self._sweep_timer = None
         now = now_ns(self.network)
         for channel, incoming in list(self.receiving.items()):
             if incoming.is_too_slow(self.limits, now):
--- a/ochrecourse/wire/framed_protocol.py
+++ b/ochrecourse/wire/framed_protocol.py
@@ -13,7 +13,8 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from ochrecourse.common.runtime import Clock, Timer, stop
+from ochrecourse.common.input_timer import InputTimer
+from ochrecourse.common.runtime import Clock
 from ochrecourse.wire import messages as m
 from ochrecourse.wire.errors import (
     LocalProtocolError,
@@ -47,7 +48,7 @@
         self._header: m.AnyMessage | None = None  # of the body that is still arriving
         self._body: list[bytes] = []
         self._body_bytes_left = 0
-        self._message_timer: Timer | None = None
+        self._message_timer = InputTimer(clock, m.MAX_HEADER_BYTES + self.max_body)
 
     # --- for subclasses ---
 
@@ -109,7 +110,7 @@
     def connectionLost(self, reason: Failure = Failure(error.ConnectionDone())) -> None:  # noqa: B008
         """Reports the end of the connection to `connection_ended` (Twisted callback)."""
         self.is_open = False
-        self._stop_message_timer()
+        self._message_timer.stop()
         self.connection_ended(self._mid_message())
 
     def dataReceived(self, data: bytes) -> None:
@@ -118,15 +119,15 @@
             return
         super().dataReceived(data)
         if not self._mid_message():
-            self._stop_message_timer()
-        elif self._message_timer is None:
-            self._message_timer = self.clock.callLater(MESSAGE_TIMEOUT_S, self._message_timed_out)
+            self._message_timer.stop()
+        elif not self._message_timer.is_running():
+            self._message_timer.start(MESSAGE_TIMEOUT_S, self._message_timed_out)
 
     def lineReceived(self, line: bytes) -> None:
         """Handles a complete header line, without its line end (Twisted callback)."""
         if self.failure is not None:
             return
-        self._stop_message_timer()  # each header and each body has its own time-out
+        self._message_timer.stop()  # each header and each body has its own time-out
         try:
             message = m.decode(line)
         except MalformedMessageError as malformed:
@@ -153,7 +154,7 @@
             return
         message, body = self._header, b"".join(self._body)
         self._header, self._body = None, []
-        self._stop_message_timer()
+        self._message_timer.stop()
         self._receive(message, body)
         self.setLineMode(rest)
 
@@ -179,10 +180,5 @@
         return self._header is not None or bool(self._buffer)
 
     def _message_timed_out(self) -> None:
-        self._message_timer = None
         text = f"a message that was begun was not whole after {MESSAGE_TIMEOUT_S:g} s"
         self.fail_connection("slow", text)
-
-    def _stop_message_timer(self) -> None:
-        timer, self._message_timer = self._message_timer, None
-        stop(timer)
