--- a/tests/test_people.py
+++ b/tests/test_people.py
@@ -58,9 +58,9 @@
 
 def test_a_write_published_before_a_node_has_stored_it_is_detected(monkeypatch):
     """A server that responds to a PUT before a node has stored it is detected by the client that reads it back."""
-    from ochrecourse.webdav import server
+    from ochrecourse.webdav.request import WebDavRequest
 
-    submit = server.WebDavRequest._submit
+    submit = WebDavRequest._submit
 
     def submit_unstored(self, parsed, size, key, shard, body):
         if body is None:
@@ -68,7 +68,7 @@
         else:
             self.served(0, 0, 0)
 
-    monkeypatch.setattr(server.WebDavRequest, "_submit", submit_unstored)
+    monkeypatch.setattr(WebDavRequest, "_submit", submit_unstored)
     run, _ = play_day(short_day("hang"))
     assert any("was answered 502" in fault for fault in run.people.faults)
 
