--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -9,65 +9,32 @@
 
 from __future__ import annotations
 
-import typing
-from collections import Counter
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
-from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
-from ochrecourse.common.time_units import MS
+from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
-from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.resp.codec import CommandParser, RespProtocolError, encode_bulk_string
 from ochrecourse.resp.command_timer import CommandTimer
-from ochrecourse.resp.commands import RequestClasses, parse_command
+from ochrecourse.resp.commands import parse_command
+from ochrecourse.resp.connection_owner import ConnectionOwner
 from ochrecourse.resp.lingering_close import LingeringClose
-from ochrecourse.resp.pipeline import CommandPipeline, PipelineTotals, ReplySlot
+from ochrecourse.resp.pipeline import CommandPipeline, ReplySlot
+from ochrecourse.resp.replies import (
+    BUSY_REPLY,
+    FAILED_REPLY,
+    PONG_REPLY,
+    TOO_LATE_REPLY,
+    TOO_MANY_CONNECTIONS_REPLY,
+    busy_reply,
+    error_reply,
+)
 
 COMMANDS_PER_ITERATION = 256  # of one connection per event loop iteration, some ms, so that none starves
 
-PONG_REPLY = b"+PONG\r\n"
-BUSY_REPLY = b"-BUSY\r\n"
-FAILED_REPLY = b"-ERR failed\r\n"
-TOO_LATE_REPLY = b"-ERR too late\r\n"
-TOO_MANY_CONNECTIONS_REPLY = b"-ERR too_many_connections all that this gateway takes are open\r\n"
-
-
-class ConnectionOwner(typing.Protocol):
-    """What a connection uses of the server that accepted it."""
-
-    gateway: Gateway
-    clock: Clock
-    request_classes: RequestClasses
-    totals: PipelineTotals
-    counts: Counter[str]  # client errors by code
-    shutting_down: bool
-    max_linger_seconds: float | None
-
-    def connection_opened(self, connection: RespClientConnection) -> None:
-        """A client has connected."""
-
-    def connection_sent_command(self, connection: RespClientConnection) -> None:
-        """The first complete command has arrived."""
-
-    def connection_busy(self, connection: RespClientConnection) -> None:
-        """The connection has an open request."""
-
-    def connection_idle(self, connection: RespClientConnection) -> None:
-        """All replies of the connection are written."""
-
-    def connection_lingering(self, connection: RespClientConnection) -> None:
-        """This side is closing the connection, which keeps its descriptor until the client closes too."""
-
-    def limit_lingering(self) -> None:
-        """Closes the oldest lingering connection if there are too many."""
-
-    def connection_closed(self, connection: RespClientConnection) -> None:
-        """The connection has ended."""
-
 
 @implementer(IPushProducer)
 class RespClientConnection(Protocol):
@@ -262,7 +229,7 @@
         self.protocol_error = error
         self.owner.counts[error.code] += 1
         self._command_timer.stop()
-        return f"-ERR {error.code} {error}\r\n".encode()
+        return error_reply(error)
 
     def _discard_input(self) -> None:
         """Discards buffered and further input, which is still read to detect the client's close."""
@@ -386,8 +353,7 @@
 
     def rejected(self, request_id: int, retry_after: int) -> None:
         """Rejects a request that was not executed; `retry_after` in ns, 0 for no advice."""
-        reply = b"-BUSY %d\r\n" % -(-retry_after // MS) if retry_after else BUSY_REPLY
-        self._finish(request_id, reply)
+        self._finish(request_id, busy_reply(retry_after))
 
     def failed(self, request_id: int) -> None:
         """Fails a request that may have been executed."""
--- a/ochrecourse/resp/server.py
+++ b/ochrecourse/resp/server.py
@@ -28,7 +28,7 @@
 
 
 class RespServerFactory(Factory):
-    """Accepts clients (client_connection.ConnectionOwner) and observes the gateway's requests
+    """Accepts clients (connection_owner.ConnectionOwner) and observes the gateway's requests
     (gateway.RequestObserver): one whose deadline passed while the event loop was blocked gets an error line.
     """
 
@@ -77,7 +77,7 @@
             return None
         return RespClientConnection(self)
 
-    # --- client_connection.ConnectionOwner ---
+    # --- connection_owner.ConnectionOwner ---
 
     def connection_opened(self, connection: RespClientConnection) -> None:
         """Registers a new connection, for which another may be evicted; otherwise it may be rejected."""
