--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -24,6 +24,7 @@
 
 import msgspec
 from restart_soak import free_port
+from soak_series import Report, run_series
 from test_sockets import Running, ochrecourse
 
 from ochrecourse.lab.day import gateway_record
@@ -400,16 +401,6 @@
                     self.violations.append(f"g{index} logged {line[:300]}")
 
 
-@dataclass
-class Report:
-    """The violations and counts of a run. `folder`: the files of a failed run."""
-
-    seed: int
-    violations: list
-    counts: Counter
-    folder: Path | None
-
-
 def soak(seed):
     """Carries out and checks the run of a seed."""
     plan, folder = draw_plan(seed), Path(tempfile.mkdtemp(prefix=f"fleet-soak-{seed}-"))
@@ -431,21 +422,5 @@
     return Report(seed, violations, counts, folder)
 
 
-def main():
-    first, _, last = sys.argv[1].partition(":")
-    total, failed = Counter(), 0
-    for seed in range(int(first), int(last or first) + 1):
-        report = soak(seed)
-        total += report.counts
-        failed += bool(report.violations)
-        print(f"seed {seed}: {'BROKE' if report.violations else 'kept'}, {dict(report.counts)}", flush=True)
-        for text in report.violations[:10]:
-            print(f"    {text}", flush=True)
-        if report.folder:
-            print(f"    {report.folder}; again: python tests/fleet_soak.py {seed}", flush=True)
-    print(f"{failed} runs broke; {dict(total)}")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_series(soak, __file__))
--- a/tests/restart_soak.py
+++ b/tests/restart_soak.py
@@ -25,6 +25,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
+from soak_series import Report, run_series
 from test_service import FLAT, listed
 
 from ochrecourse.resp import codec
@@ -331,16 +332,6 @@
     leaks: list = field(default_factory=list)  # descriptions of descriptors and memory that were not released
 
 
-@dataclass
-class Report:
-    """The breaches of the rules in a run, and counts of its events."""
-
-    seed: int
-    breaches: list
-    counts: Counter
-    folder: Path | None = None  # the evidence of a run with breaches
-
-
 def execute(plan):
     """Executes a plan and returns the evidence."""
     with tempfile.TemporaryDirectory() as folder:
@@ -574,21 +565,5 @@
     return folder
 
 
-def main():
-    first, _, last = sys.argv[1].partition(":")
-    total, failed_runs = Counter(), 0
-    for seed in range(int(first), int(last or first) + 1):
-        report = soak(seed)
-        total += report.counts
-        failed_runs += bool(report.breaches)
-        print(f"seed {seed}: {'BROKE' if report.breaches else 'kept'}, {dict(report.counts)}", flush=True)
-        for text in report.breaches[:10]:
-            print(f"    {text}", flush=True)
-        if report.folder:
-            print(f"    {report.folder}; again: python tests/restart_soak.py {seed}", flush=True)
-    print(f"{failed_runs} runs broke; {dict(total)}")
-    return 1 if failed_runs else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_series(soak, __file__))
--- a/tests/test_fleet_soak.py
+++ b/tests/test_fleet_soak.py
@@ -15,7 +15,7 @@
 def test_soak_run_of_a_fleet_has_no_violations(seed):
     report = soak(seed)
     print(dict(report.counts))
-    assert not report.violations, (report.violations, report.folder)
+    assert not report.breaches, (report.breaches, report.folder)
     assert report.counts["append done"] > 10 and report.counts["reports"]
 
 
