--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case; TROUBLE=0 plays it without the disruption. Exit code: 1 broken, 0 held, 2 could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." && exec .venv/bin/python "$here/case.py"
