--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common_2"))
 import bed as common  # noqa: E402
 
-MEMORY_MB, SOCKETS = 64, 1024  # the pages: 32 to 192 MB, 256 to 1,024 descriptors
+MEMORY_MB, SOCKETS = 56, 1024  # the pages: 32 to 192 MB, 256 to 1,024 descriptors
 NODES, CLIENTS, RATE = 150, 40, 400.0  # requests a second of this gateway
 IDLE_SECONDS = 0.3  # docs/relay.md: "it was 0.3 to 0.5 s on one such day"
 PLAY_SECONDS = 100.0
