--- a/review/10/case.py
+++ b/review/10/case.py
@@ -53,8 +53,12 @@
             closed.update((words[2], time.monotonic()) for words in commands)
             bed.record.add(f"client-{i}", "closed")
     await asyncio.sleep(1.5 if common.trouble() else 4)
-    for client in clients:
+    for i, (client, commands) in enumerate(zip(clients, work, strict=True)):
+        if not common.trouble():
+            bed.record.add(f"client-{i}", f"read {len(client.recv(1 << 20))} bytes of answers, closes")
         client.close()
+        closed.update((words[2], time.monotonic()) for words in commands if words[2] not in closed)
+    await asyncio.sleep(0.5)
 
 
 def write(bed: common.Bed, piece: int) -> list[bytes]:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -75,7 +75,9 @@
         memory = f"resident {first:.1f} MB at the start, {day.memory:.1f} MB at the end, limit {MEMORY_MB} MB"
         print(memory + (f"; killed at {day.killed_at:.0f} s" if day.killed_at else ""))
         print(f"{day.sent} requests sent, {day.served} served, {day.lost} without an answer")
-        return common.BROKEN if day.killed_at else common.HELD
+        if day.killed_at:
+            return common.BROKEN
+        return common.HELD if day.served else common.NOT_RUN
     finally:
         await bed.close()
 
