A late second answer of a node no longer serves another request's value

Answers carry no id; a node that stands still between an answer and its copy sends the copy when the connection carries the next attempt. An answer that equals one of the last 16 of its connection is kept back until the node has answered SELECT, written behind the attempt: nodes answer in order, so the last answer before that one is the attempt's own.

--- a/ochrecourse/resp/node_connection.py
+++ b/ochrecourse/resp/node_connection.py
@@ -3,11 +3,16 @@
 
 Attempts are not pipelined: one would wait for the reply before it, and cancelling it means closing the
 connection. The connection is reused only if nothing arrives after a reply for a short delay.
+
+Replies carry no id, and a node that stood still may send the duplicate of a reply after that delay. So a
+reply that equals an earlier one of its connection is kept back until the node has answered a marker command,
+which is written behind the attempt: nodes reply in order, so the last reply before the marker's is its own.
 """
 
 from __future__ import annotations
 
-from typing import Any
+from collections import deque
+from typing import Any, NamedTuple
 
 from twisted.internet.protocol import Protocol
 
@@ -18,10 +23,25 @@
 from ochrecourse.nodes.outcome import ConnectionEnd
 from ochrecourse.nodes.outgoing_attempt import OutgoingAttempt
 from ochrecourse.nodes.pool import PooledConnection
-from ochrecourse.resp.codec import ReplyParser, RespProtocolError
+from ochrecourse.resp.codec import ReplyParser, RespProtocolError, SimpleString, encode_command
 from ochrecourse.resp.commands import RespRequest, parse_reply
+from ochrecourse.wire import messages
 
 REUSE_DELAY_SECONDS = 0.01  # between a reply and the next attempt; a duplicate reply may be some ms late
+REMEMBERED_REPLIES = 16  # of one connection; a duplicate behind more later replies is not recognized
+MARKER = encode_command([b"SELECT", b"0"])  # no request and no probe
+MARKER_REPLY = SimpleString(b"OK")  # never the reply to an attempt
+
+
+class ReceivedReply(NamedTuple):
+    """A complete reply."""
+
+    message: messages.AttemptServed | messages.AttemptFailed | messages.AttemptRejected
+    value: bytes
+
+    def fingerprint(self) -> int:
+        """Returns a number that is the same for a reply and its duplicate, whatever else they tell."""
+        return hash((type(self.message), self.value))
 
 
 class RespNodeConnection(Protocol):
@@ -37,6 +57,11 @@
         self.malformed_reply = False
         self.attempt: OutgoingAttempt | None = None
         self.parser = ReplyParser()
+        self.recent_replies: deque[int] = deque(maxlen=REMEMBERED_REPLIES)  # fingerprints, oldest first
+        self.unconfirmed_reply: ReceivedReply | None = (
+            None  # the attempt's reply or a duplicate of an earlier one
+        )
+        self.duplicates = 0  # of earlier replies, that were received during the attempt
 
     # --- nodes.outgoing_attempt.NodeConnection ---
 
@@ -91,23 +116,42 @@
             return
         try:
             self.parser.feed(data)
-            parsed = self.parser.next()
-            if parsed is None:
-                return
-            message, value = parse_reply(parsed[0])
+            reply = self._next_reply()
         except RespProtocolError as error:
             self.dispatcher.counts[f"nodes' breaches: {error.code}"] += 1
             self.malformed_reply = True
             self.abort()
             return
+        if reply is None:
+            return
         self.attempt = None
+        self.recent_replies.append(reply.fingerprint())
         attempt.pooled = None  # the connection is released after the delay, not when the attempt ends
-        if self.parser.has_unparsed_bytes():
+        if self.parser.has_unparsed_bytes() or self.duplicates:
             self.dispatcher.counts["bytes behind an answer"] += 1
             self.abort()
         else:
             self.dispatcher.clock.callLater(REUSE_DELAY_SECONDS, self._reuse_delay_over)
-        self.dispatcher.response_received(attempt, message, value, True)
+        self.dispatcher.response_received(attempt, reply.message, reply.value, True)
+
+    def _next_reply(self) -> ReceivedReply | None:
+        """Returns the attempt's reply, None until it is known. Raises RespProtocolError."""
+        while (parsed := self.parser.next()) is not None:
+            unconfirmed = self.unconfirmed_reply
+            if unconfirmed is not None and parsed[0] == MARKER_REPLY:
+                self.unconfirmed_reply = None
+                return unconfirmed
+            reply = ReceivedReply(*parse_reply(parsed[0]))
+            if unconfirmed is not None:
+                if unconfirmed.fingerprint() not in self.recent_replies:
+                    raise RespProtocolError("two_replies", "two replies to one attempt")
+                self.duplicates += 1
+            elif reply.fingerprint() in self.recent_replies:
+                self.transport.write(MARKER)
+            else:
+                return reply
+            self.unconfirmed_reply = reply
+        return None
 
     def _reuse_delay_over(self) -> None:
         # The event loop calls timers before it reads sockets: after it was blocked, input that arrived during
--- a/ochrecourse/standins/resp_node.py
+++ b/ochrecourse/standins/resp_node.py
@@ -12,6 +12,7 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
+CONNECTION_COMMANDS = (b"SELECT", b"CLIENT")  # answered in order with `+OK`; they are no requests
 VALUE = b"\x00value\r\n\xff"  # contains bytes that break parsers which split at line ends
 
 
@@ -30,6 +31,7 @@
         self.node = node
         self.buffer = b""
         self.commands: list[list[bytes]] = []
+        self.answered = True  # whether the last request had a reply; replies are sent in order
 
     def connectionMade(self) -> None:
         """Registers the connection with its node."""
@@ -44,9 +46,14 @@
         """Records each complete command and sends the reply, if there is one."""
         self.buffer += data
         while (arguments := self._command()) is not None:
+            if arguments[0] in CONNECTION_COMMANDS:
+                if self.answered:
+                    self.transport.write(b"+OK\r\n")
+                continue
             self.node.commands.append(arguments)
             self.commands.append(arguments)
             reply = self.node.reply(arguments)
+            self.answered = reply is not None
             if reply is not None:
                 self.transport.write(reply)
 
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -21,7 +21,7 @@
 from ochrecourse.resp import codec
 from ochrecourse.resp.node_connection import RespNodeConnection
 from ochrecourse.resp.commands import RequestClasses, parse_command
-from ochrecourse.standins.resp_node import success_reply
+from ochrecourse.standins.resp_node import VALUE, success_reply
 from ochrecourse.wire import messages as m
 
 WINDOW = 400 * MS  # idempotency window of the class below, shorter than its deadline and than a late dial
@@ -356,6 +356,77 @@
     assert [request_id for request_id, _ in harness.responses] == [1]
 
 
+def exchange(harness, connection, number, *replies):
+    """Sends an attempt on an idle connection, whose node writes `replies`."""
+    harness.send(number)
+    for reply in replies:
+        connection.dataReceived(reply)
+    harness.network.advance(0.05)  # past the reuse delay
+
+
+OK = b"+OK\r\n"
+BUSY = b"-BUSY\r\n"
+
+
+def reply_to(number):
+    return success_reply([b"", b"", b"%016x" % number])
+
+
+def connected():
+    """A dispatcher with a connection that has carried one attempt and may carry the next."""
+    harness = RespDispatcherHarness()
+    harness.send(1)
+    connection = harness.connect()
+    connection.dataReceived(reply_to(1))
+    harness.network.advance(0.05)
+    return harness, connection
+
+
+def test_a_second_answer_that_comes_long_after_the_first_is_not_the_next_request_s():
+    """Guards against another request's value: a node that stood still sends the duplicate once the delay is over."""
+    harness, connection = connected()
+    exchange(harness, connection, 2, reply_to(1), reply_to(2), OK)
+    assert [data for _, data in harness.responses] == [VALUE + b"%016x" % number for number in (1, 2)]
+    assert connection.transport.aborted, "its node sends answers late"
+
+
+def test_a_second_answer_that_is_older_than_the_last_one_is_recognized():
+    harness, connection = connected()
+    exchange(harness, connection, 2, reply_to(2))
+    exchange(harness, connection, 3, reply_to(1), reply_to(3) + OK)
+    assert [number for number, _ in harness.responses] == [1, 2, 3]
+    assert harness.responses[-1][1].endswith(b"3") and len(harness.dials) == 1
+
+
+@pytest.mark.parametrize("reply", [reply_to(1), BUSY, b"-ERR failed used=7\r\n"])
+def test_a_node_that_answers_alike_is_served_and_its_connection_is_kept(reply):
+    harness, connection = connected()
+    if reply != reply_to(1):
+        exchange(harness, connection, 2, reply)
+    for number in (3, 4):
+        exchange(harness, connection, number, reply, OK)
+        assert harness.ends[-1][0] == number
+    assert len(harness.dials) == 1 and not connection.transport.aborted
+
+
+def test_a_second_refusal_is_not_the_next_request_s():
+    """Guards against a request that counts as never run, and is sent again, while its node runs it."""
+    harness, connection = connected()
+    exchange(harness, connection, 2, BUSY)
+    exchange(harness, connection, 3, BUSY, reply_to(3), OK)
+    assert harness.ends[-2:] == [(2, AttemptEvent.REJECTED), (3, AttemptEvent.SERVED)]
+
+
+@pytest.mark.parametrize("rest", [b"", reply_to(2), reply_to(2) + reply_to(3)])
+def test_an_attempt_whose_answer_is_in_doubt_when_its_connection_ends_may_have_run(rest):
+    harness, connection = connected()
+    exchange(harness, connection, 2, reply_to(1), rest)
+    connection.transport.abortConnection()
+    harness.network.advance(0)
+    assert [number for number, _ in harness.responses] == [1]
+    assert harness.ends[1][1] in (AttemptEvent.CLOSED_AFTER_WRITE, AttemptEvent.VIOLATION)
+
+
 # --- limits between the decision and the write of an attempt ---
 
 
