Writes keep their order across connections, also behind a full connection

A request behind the 32 running ones of its connection was unknown to the order of its key, so a later write on another connection overtook it. Its place is now reserved when the command is whole; a place that blocks a request is wanted, and its own request is submitted at once.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -89,6 +89,7 @@
         self.rejected_on_arrival = 0
         self.shutdown_deadline = 0  # clock time (ns) by which all requests must be answered; 0: none
         self._last_request_id = 0
+        self._reserved_places: dict[int, Callable[[int], None]] = {}  # with what to call when one is wanted
         self._deciding = False
         self._catch_up = InputCatchUp(clock, self.event_loop_lag, unread_since, self._decide)
         self._timer: Timer | None = None
@@ -125,9 +126,11 @@
         self.scheduler.node_rates_received(rates, now_ns(self.clock))
         self._pull()
 
-    def submit(self, request: Request, handler: ResponseHandler) -> int:
+    def submit(self, request: Request, handler: ResponseHandler, place: int = 0) -> int:
         """Accepts a request and returns its id; the handler may be called before this returns.
 
+        `place`: reserved in the order of its key, 0 for none.
+
         Raises BadRequestError.
         """
         request_class = self.settings_index.classes.get(request.request_class)
@@ -164,9 +167,30 @@
             if cache_handler is None:
                 return request_id
             self.in_flight[request_id].handler = cache_handler
-        self._submit_to_scheduler(record, request, now)
+        self._submit_to_scheduler(record, request, now, place)
         return request_id
 
+    def reserve_place(self, request: Request, on_wanted: Callable[[int], None]) -> int:
+        """Reserves the place, in the order of its key, of a request that is submitted later; 0 for none.
+
+        `on_wanted` is called with the place when a request waits behind it: its own is to be submitted now.
+        """
+        request_class = self.settings_index.classes.get(request.request_class)
+        if request_class is None:
+            return 0
+        place = self.scheduler.reserve_place(request_class, request.key)
+        if place:
+            self._reserved_places[place] = on_wanted
+        return place
+
+    def release_places(self, places: Sequence[int]) -> None:
+        """Releases places, also those whose requests have been submitted: these keep their order."""
+        for place in places:
+            del self._reserved_places[place]
+            self.scheduler.release_place(place, now_ns(self.clock))
+        if places:
+            self._pull()
+
     def next_request_id(self) -> int:
         """Returns the id of the next request, whose response may be delivered before `submit` returns."""
         return self._last_request_id + 1
@@ -252,15 +276,12 @@
             return
         self._deciding = True
         try:
-            while (decision := self.scheduler.decide(now := now_ns(self.clock))) is not None:
-                if isinstance(decision, Attempt):
-                    self._send(decision, now)
-                elif isinstance(decision, Reply):
-                    self._reply(decision, now)
-                elif decision is ListCall.FOLLOW:
-                    self.list_wanted = True
-                    if self.on_list_wanted is not None:
-                        self.on_list_wanted()
+            now = self._execute_decisions()
+            while self._reserved_places and (wanted := self.scheduler.take_wanted_places()):
+                for place in wanted:
+                    if place in self._reserved_places:
+                        self._reserved_places[place](place)
+                now = self._execute_decisions()
         finally:
             self._deciding = False
         due = self.scheduler.next_due()
@@ -270,6 +291,19 @@
             self._due = max(due, now)
             self._timer = self.clock.callLater((self._due - now) / SECOND, self._timer_fired)
 
+    def _execute_decisions(self) -> int:
+        """Executes the scheduler's decisions until there are none; returns the time of the last call."""
+        while (decision := self.scheduler.decide(now := now_ns(self.clock))) is not None:
+            if isinstance(decision, Attempt):
+                self._send(decision, now)
+            elif isinstance(decision, Reply):
+                self._reply(decision, now)
+            elif decision is ListCall.FOLLOW:
+                self.list_wanted = True
+                if self.on_list_wanted is not None:
+                    self.on_list_wanted()
+        return now
+
     def _iterations_behind(self) -> int:
         """Returns the number of event loop iterations until all unread input is reported; 0 if it is."""
         if self._catch_up.iterations_left:
--- a/ochrecourse/gateway/request_executor.py
+++ b/ochrecourse/gateway/request_executor.py
@@ -80,10 +80,10 @@
 
     # --- scheduler ---
 
-    def _submit_to_scheduler(self, record: RequestRecord, request: Request, now: int) -> None:
+    def _submit_to_scheduler(self, record: RequestRecord, request: Request, now: int, place: int = 0) -> None:
         scheduled = interface.Request(
             record.number, record.request_class, record.tenant, request.volume, request.key, request.units,
-            request.shard, request.gateways, record.deadline
+            request.shard, request.gateways, record.deadline, place
         )  # fmt: skip
         self.scheduler.request_received(scheduled, now)
         self._pull()
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -88,9 +88,11 @@
         self._command_timer.connection_lost()
         self.parser = CommandParser()
         self.owner.connection_closed(self)
+        places = self.pipeline.reserved_places()
         self.pipeline.clear()
         request_ids, self.in_flight = list(self.in_flight), {}
         self.gateway.cancel_all(request_ids)
+        self.gateway.release_places(places)
 
     def _stop_timers(self) -> None:
         self._command_timer.stop()
@@ -175,6 +177,9 @@
         if self.rejecting or not self.pipeline.enqueue(slot, self.write_blocked):
             self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
             return
+        if slot.queued_request is not None:
+            # It may be queued behind others of its connection, while those of other connections are started.
+            slot.place = self.gateway.reserve_place(slot.queued_request, self._place_wanted)
         self.owner.connection_busy(self)
 
     def _parse_request(self, arguments: list[bytes]) -> ReplySlot:
@@ -191,20 +196,34 @@
             slot, request = self.pipeline.start_next()
             self._submit(slot, request)
 
+    def _place_wanted(self, place: int) -> None:
+        """Submits a queued request that blocks others with the same key, whatever runs on this connection."""
+        started = self.pipeline.start_place(place)
+        if started is not None:
+            self._submit(*started)
+            self._advance()
+
     def _submit(self, slot: ReplySlot, request: Request) -> None:
         # The time in the queue behind others of its connection does not count against a request's timeout.
         request.read_at = now_ns(self.clock)
         request_id = self.gateway.next_request_id()
         self.in_flight[request_id] = slot  # before the call, which may deliver the reply before it returns
         try:
-            self.gateway.submit(request, self)
+            self.gateway.submit(request, self, slot.place)
         except BadRequestError as error:
             del self.in_flight[request_id]
             if error.code == "late_body":
                 self.pipeline.complete(slot, TOO_LATE_REPLY)
             else:
                 self.pipeline.complete(slot, self._fail(RespProtocolError(error.code, str(error))))
-                self.pipeline.reject_queued(BUSY_REPLY)
+                self._reject_queued()
+        if slot.place:
+            self.gateway.release_places([slot.place])
+
+    def _reject_queued(self) -> None:
+        places = self.pipeline.reserved_places()
+        self.pipeline.reject_queued(BUSY_REPLY)
+        self.gateway.release_places(places)
 
     # --- protocol errors ---
 
@@ -305,7 +324,7 @@
     def reject_queued(self) -> None:
         """Rejects queued requests and drops a partial command, since the process is about to exit."""
         self.rejecting = True
-        self.pipeline.reject_queued(BUSY_REPLY)
+        self._reject_queued()
         self._advance()
 
     def _read_pending_input(self) -> bool:
--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -25,7 +25,7 @@
 class ReplySlot:
     """A command's entry in the queue of replies."""
 
-    __slots__ = ("client_request_id", "queued_request", "reply")
+    __slots__ = ("client_request_id", "place", "queued_request", "reply")
 
     def __init__(
         self,
@@ -36,6 +36,7 @@
         self.client_request_id = client_request_id  # empty for a command without a request
         self.reply = reply  # None until the command is answered
         self.queued_request = queued_request  # None once it is started
+        self.place = 0  # reserved in the order of its key, from `Gateway.reserve_place`
 
     def queued_bytes(self) -> int:
         """Returns the memory in bytes that its queued request uses."""
@@ -109,7 +110,17 @@
 
     def start_next(self) -> tuple[ReplySlot, Request]:
         """Removes the oldest queued request from the queue and returns it; requires `can_start`."""
-        slot = self.queued.popleft()
+        return self._start(self.queued.popleft())
+
+    def start_place(self, place: int) -> tuple[ReplySlot, Request] | None:
+        """Removes the queued request with this place from the queue and returns it; None if there is none."""
+        for slot in self.queued:
+            if slot.place == place:
+                self.queued.remove(slot)
+                return self._start(slot)
+        return None
+
+    def _start(self, slot: ReplySlot) -> tuple[ReplySlot, Request]:
         size = slot.queued_bytes()
         self.queued_bytes -= size
         self.totals.queued_bytes -= size
@@ -138,6 +149,10 @@
         """Whether any command has no reply yet."""
         return any(slot.reply is None for slot in self.slots)
 
+    def reserved_places(self) -> list[int]:
+        """Returns the places of queued requests in the order of their keys."""
+        return [slot.place for slot in self.queued if slot.place]
+
     def reject_queued(self, reply: bytes) -> None:
         """Completes all queued requests with `reply`; none of them is started."""
         for slot in self.queued:
--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -116,10 +116,28 @@
         if pending.is_next_for_key:
             self._review_queue.append(pending)
         else:
-            self.key_order.add(pending)
+            self.key_order.add(pending, request.place)
             self._advance_key(request.key)
         self._timers.add(pending.serve_by - self._answer_margin, timers.ReviewRequest(pending))
 
+    def reserve_place(self, request_class: int, key: int) -> int:
+        """Reserves a place in the order of a key for a request that is received later; 0 without an order."""
+        if not key or not self.settings.request_classes[request_class].in_key_order:
+            return 0
+        return self.key_order.reserve(key)
+
+    def take_wanted_places(self) -> list[int]:
+        """Returns the reserved places that block received requests, each once."""
+        wanted, self.key_order.wanted = self.key_order.wanted, []
+        return wanted
+
+    def release_place(self, place: int, now: int) -> None:
+        """Releases a place whose request will not come."""
+        self._now = now
+        key = self.key_order.release(place)
+        if key:
+            self._advance_key(key)
+
     def attempt_written(self, request_id: int, now: int) -> None:
         """Records that the outstanding attempt was handed to a connection: it may run from now on."""
         self._now = now
