Markers for second answers do not lose requests at nodes that do not answer them

Until a gateway's first marker is answered, refusals, errors and values of under 8 bytes get none; three markers without an answer are the last.

Tests: five parameters in test_node_connections.py.

--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -398,9 +398,13 @@
     assert harness.responses[-1][1].endswith(b"3") and len(harness.dials) == 1
 
 
-@pytest.mark.parametrize("reply", [reply_to(1), BUSY, b"-ERR failed used=7\r\n"])
+SHORT = b"*1\r\n$6\r\nstored\r\n"
+
+
+@pytest.mark.parametrize("reply", [reply_to(1), SHORT, BUSY, b"-ERR failed used=7\r\n"])
 def test_a_node_that_answers_alike_is_served_and_its_connection_is_kept(reply):
     harness, connection = connected()
+    connection.markers.answered = True
     if reply != reply_to(1):
         exchange(harness, connection, 2, reply)
     for number in (3, 4):
@@ -412,11 +416,40 @@
 def test_a_second_refusal_is_not_the_next_request_s():
     """Guards against a request that counts as never run, and is sent again, while its node runs it."""
     harness, connection = connected()
+    connection.markers.answered = True
     exchange(harness, connection, 2, BUSY)
     exchange(harness, connection, 3, BUSY, reply_to(3), OK)
     assert harness.ends[-2:] == [(2, AttemptEvent.REJECTED), (3, AttemptEvent.SERVED)]
 
 
+@pytest.mark.parametrize("reply", [SHORT, BUSY, b"-ERR failed used=7\r\n"])
+def test_replies_that_are_often_alike_need_no_marker_of_a_node_that_never_answered_one(reply):
+    """Guards against requests lost at nodes that don't know the marker's command."""
+    harness, connection = connected()
+    for number in (2, 3, 4):
+        exchange(harness, connection, number, reply)
+    assert len(harness.ends) == 4 and b"SELECT" not in connection.transport.written
+
+
+@pytest.mark.parametrize("ends", ["cancelled", "closed"])
+def test_a_node_that_answers_no_marker_gets_three_at_most(ends):
+    markers, harness = None, RespDispatcherHarness()
+    for number in range(1, 11, 2):
+        harness.send(number)
+        connection = harness.connect()
+        connection.markers = markers = markers or connection.markers
+        connection.dataReceived(reply_to(1))
+        harness.network.advance(0.05)
+        attempt = harness.send(number + 1)
+        connection.dataReceived(reply_to(1))
+        asked = connection.transport.written.count(b"SELECT")
+        assert asked == (number <= 5) and len(harness.responses) == number + 1 - min(number // 2 + 1, 3)
+        if asked and ends == "cancelled":
+            harness.dispatcher.cancel(attempt)
+        connection.transport.abortConnection()
+        harness.network.advance(0.05)
+
+
 @pytest.mark.parametrize("rest", [b"", reply_to(2), reply_to(2) + reply_to(3)])
 def test_an_attempt_whose_answer_is_in_doubt_when_its_connection_ends_may_have_run(rest):
     harness, connection = connected()
