Markers go on at nodes that close at them, as long as they find second answers

A further answer before the connection ends shows that the first one was a copy, so such a marker does not count as unanswered. One test, which fails without the change.

--- a/ochrecourse/resp/node_connection.py
+++ b/ochrecourse/resp/node_connection.py
@@ -181,10 +181,13 @@
         return None
 
     def _forget_unconfirmed(self) -> None:
-        """Notes that the node did not answer a marker before its attempt ended."""
+        """Notes that the node did not answer a marker before its attempt ended.
+
+        A further reply before the end shows that the first was a duplicate: the marker was right to be sent.
+        """
         if self.unconfirmed_reply is not None:
             self.unconfirmed_reply = None
-            self.markers.unanswered += 1
+            self.markers.unanswered += not self.duplicates
 
     def _reuse_delay_over(self) -> None:
         # The event loop calls timers before it reads sockets: after it was blocked, input that arrived during
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -450,6 +450,22 @@
         harness.network.advance(0.05)
 
 
+def test_markers_go_on_at_nodes_that_close_at_them_while_they_find_duplicates():
+    markers, harness = None, RespDispatcherHarness()
+    for number in range(1, 21, 2):
+        harness.send(number)
+        connection = harness.connect()
+        connection.markers = markers = markers or connection.markers
+        connection.dataReceived(reply_to(number))
+        harness.network.advance(0.05)
+        harness.send(number + 1)
+        connection.dataReceived(reply_to(number))
+        connection.dataReceived(reply_to(number + 1))
+        connection.transport.abortConnection()
+        harness.network.advance(0.05)
+    assert [number for number, _ in harness.responses] == list(range(1, 21, 2))
+
+
 @pytest.mark.parametrize("rest", [b"", reply_to(2), reply_to(2) + reply_to(3)])
 def test_an_attempt_whose_answer_is_in_doubt_when_its_connection_ends_may_have_run(rest):
     harness, connection = connected()
