A flood of many volumes at one node is no longer work in the square of them

A volume new at a node reset the bound of each volume there and listed all of them again. The even split is now one value for all volumes that were not changed since, and only those are listed again that may not be: volumes with requests outstanding, and the first 32 that wait for their limit.

--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -299,8 +299,7 @@
         flow = node.flows.get(pending.request.volume)
         if flow is None:
             flow = concurrency.add_flow(node, pending)
-            for volume_id in node.flows:
-                self.fair_queue.list_flow(node, volume_id)
+            self.fair_queue.list_unlisted(node)
         concurrency.score_run(flow, pending.request.key, self._now)
         self.fair_queue.enqueue(pending, node, flow)
 
@@ -348,6 +347,7 @@
                     flow.queues[head.rank].popleft()
                     return self._send(node, flow, head, pending)
                 self._list_later(node, head.volume_id, wait)
+                node.limited_volumes[head.volume_id] = None
             fair_queue.unlist(node, flow)
             concurrency.forget_idle_flow(node, head.volume_id)
         return None
