--- a/ochrecourse/standins/resp_node.py
+++ b/ochrecourse/standins/resp_node.py
@@ -31,7 +31,8 @@
         self.node = node
         self.buffer = b""
         self.commands: list[list[bytes]] = []
-        self.answered = True  # whether the last request had a reply; replies are sent in order
+        self.answered = True  # whether the last request had a reply
+        self.waiting_commands = 0  # connection commands behind a request; replies are sent in order
 
     def connectionMade(self) -> None:
         """Registers the connection with its node."""
@@ -47,8 +48,8 @@
         self.buffer += data
         while (arguments := self._command()) is not None:
             if arguments[0] in CONNECTION_COMMANDS:
-                if self.answered:
-                    self.transport.write(b"+OK\r\n")
+                self.waiting_commands += 1
+                self._answer_connection_commands()
                 continue
             self.node.commands.append(arguments)
             self.commands.append(arguments)
@@ -57,6 +58,17 @@
             if reply is not None:
                 self.transport.write(reply)
 
+    def answer(self, reply: bytes) -> None:
+        """Sends the reply to the last request, to which the node's `reply` returned None."""
+        self.answered = True
+        self.transport.write(reply)
+        self._answer_connection_commands()
+
+    def _answer_connection_commands(self) -> None:
+        if self.answered:
+            self.transport.write(b"+OK\r\n" * self.waiting_commands)
+            self.waiting_commands = 0
+
     def _command(self) -> list[bytes] | None:
         """Removes and returns the first complete command, None if there is none."""
         array_header, separator, remaining = self.buffer.partition(b"\r\n")
--- a/tests/test_command_times.py
+++ b/tests/test_command_times.py
@@ -103,8 +103,8 @@
 def answer_hanging(shop):
     """Answers all commands that the node has left unanswered."""
     for peer in list(shop.node.peers):
-        if peer.commands:
-            peer.transport.write(success_reply(peer.commands[-1]))
+        if peer.commands and not peer.answered:
+            peer.answer(success_reply(peer.commands[-1]))
 
 
 LONG_DEADLINES = {"Classes.0.Deadline": "10000", "Classes.0.Aim": "9000"}
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -45,8 +45,7 @@
         if arguments[0] == b"BLK.WRITE":
             self.events[int(arguments[1], 16)].append(("ends", number))
         if peer in self.shop.node.peers:
-            peer.transport.write(success_reply(arguments))
-            peer.answered = True
+            peer.answer(success_reply(arguments))
 
     def began(self, key):
         return [number for what, number in self.events[key] if what == "begins"]
