--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -245,7 +245,7 @@
 
     def _fail(self, error: RespProtocolError) -> bytes:
         """Records a protocol error, after which no request is accepted; returns the error line."""
-        self.protocol_error = error
+        self.protocol_error = error.with_traceback(None)  # whose frames would refer back to this connection
         self.owner.counts[error.code] += 1
         self._command_timer.stop()
         return error_reply(error)
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -180,6 +180,14 @@
 
     # --- graceful shutdown ---
 
+    def closed_connections(self) -> int:
+        """Returns how many connections to clients, nodes and service discovery have ended, about."""
+        return (
+            self.server.closed_connections
+            + self.gateway.nodes.closed_connections
+            + self.watch.last_attempt_number
+        )
+
     def shut_down(self) -> None:
         """Starts a graceful shutdown; `on_stopped` is called at its end."""
         if self.shutting_down:
