No attempt is written for a client whose close the system has received

A close behind unread input was seen turns later, and attempts began meanwhile. The system is asked before each write (POLLRDHUP), which does not depend on what is unread.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -126,12 +126,17 @@
         self.scheduler.node_rates_received(rates, now_ns(self.clock))
         self._pull()
 
-    def submit(self, request: Request, handler: ResponseHandler, place: int = 0) -> int:
+    def submit(
+        self,
+        request: Request,
+        handler: ResponseHandler,
+        place: int = 0,
+        client_gone: Callable[[], bool] | None = None,
+    ) -> int:
         """Accepts a request and returns its id; the handler may be called before this returns.
 
-        `place`: reserved in the order of its key, 0 for none.
-
-        Raises BadRequestError.
+        `place`: reserved in the order of its key, 0 for none. `client_gone`: tells, if the client's protocol
+        can, whether the client has closed though that is not read yet. Raises BadRequestError.
         """
         request_class = self.settings_index.classes.get(request.request_class)
         tenant = self.settings_index.tenants.get(request.tenant)
@@ -160,7 +165,7 @@
             deadline + self.travel // 2, request.trace
         )  # fmt: skip
         self.request_log.add(record)
-        self.in_flight[request_id] = InFlightRequest(request, handler, record)
+        self.in_flight[request_id] = InFlightRequest(request, handler, record, client_gone)
         if self.object_cache is not None:
             write = self.settings_index.writes[request_class]
             cache_handler = self.object_cache.request_received(request_id, request, write, deadline, handler)
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -292,6 +292,10 @@
             # When the event loop was blocked, the write deadline's timer may not have fired yet.
             self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
             return
+        if not attempt.is_wanted():
+            # Its client has closed, which may be read only after much else.
+            self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
+            return
         attempt.assigned_at = now
         self.connections[pooled.number].send(attempt)
         attempt.listener.attempt_written(attempt)
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
+from ochrecourse.common.peer_close import peer_has_closed
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.resp.codec import CommandParser, RespProtocolError, encode_bulk_string
@@ -196,6 +197,10 @@
             slot, request = self.pipeline.start_next()
             self._submit(slot, request)
 
+    def _client_gone(self) -> bool:
+        """Whether the client has closed, also while this side has not read all that was sent before."""
+        return peer_has_closed(self.transport)
+
     def _place_wanted(self, place: int) -> None:
         """Submits a queued request that blocks others with the same key, whatever runs on this connection."""
         started = self.pipeline.start_place(place)
@@ -209,7 +214,7 @@
         request_id = self.gateway.next_request_id()
         self.in_flight[request_id] = slot  # before the call, which may deliver the reply before it returns
         try:
-            self.gateway.submit(request, self, slot.place)
+            self.gateway.submit(request, self, slot.place, self._client_gone)
         except BadRequestError as error:
             del self.in_flight[request_id]
             if error.code == "late_body":
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -4,6 +4,7 @@
 import errno
 import select
 import socket
+import struct
 from contextlib import suppress
 
 import pytest
@@ -15,6 +16,7 @@
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.common.event_loop import MIN_WAIT, POLLS_UNTIL_READ, PollHistory
 from ochrecourse.lab.virtual import VirtualNetwork
+from ochrecourse.nodes.dispatcher import Dispatcher
 from ochrecourse.service.gateway_service import GatewayService, ServiceEnvironment, share_descriptors
 from ochrecourse.service.start_settings import parse_start_settings
 from ochrecourse.resp import codec
@@ -240,6 +242,70 @@
     assert shop.service.gateway.request_log.received <= 32 and not shop.server.totals.unanswered_commands
 
 
+# --- no attempt begins for a client whose close is not read yet ---
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+def test_no_attempt_begins_for_a_client_whose_close_is_behind_much_input(make_shop, how):
+    """Guards against work for nobody: after 256 commands a connection is not read, and more were started meanwhile."""
+    shop = make_shop(lambda arguments: None)
+    client, connection = shop.client()
+    client.sendall(b"".join(read(i, d=60_000) for i in range(1, 401)))
+    if how == "reset":
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    close_client(client, how)
+    wait_for_close(connection)
+    shop.loop.run_until(lambda: not connection.connected)
+    shop.loop.settle()
+    assert not shop.node.commands and not shop.open and not shop.service.gateway.in_flight
+
+
+@pytest.mark.parametrize("how", ["close", "half"])
+def test_no_attempt_is_written_for_a_client_that_closed_while_its_connection_is_not_read(make_shop, how):
+    """The same for an attempt that another answer lets begin, and for one that is sent once more."""
+    shop = make_shop(lambda arguments: None)
+    client, connection = shop.client()
+    shop.send(client, b"".join(read(i, d=60_000) for i in range(1, 41)))
+    shop.loop.settle()
+    sent = len(shop.node.commands)
+    assert 0 < sent < shop.open == 32
+    connection.transport.pauseProducing()
+    close_client(client, how)
+    wait_for_close(connection)
+    for peer in list(shop.node.peers)[:2]:
+        peer.transport.write(success_reply(peer.commands[-1]))
+    for peer in list(shop.node.peers)[2:]:
+        peer.transport.abortConnection()  # reads may be sent once more
+    for _ in range(40):
+        shop.loop.now += 0.02
+        shop.loop.settle()
+    assert len(shop.node.commands) == sent and connection.connected
+    connection.transport.resumeProducing()
+    shop.loop.run_until(lambda: not connection.connected)
+    assert not shop.open and not shop.service.gateway.in_flight and not shop.server.totals.open_request_ids
+
+
+@pytest.mark.parametrize("how", ["close", "half"])
+def test_an_attempt_whose_connection_opens_after_its_client_closed_is_not_written(
+    make_shop, monkeypatch, how
+):
+    shop = make_shop(lambda arguments: None)
+    opened = []
+    connection_opened = Dispatcher.connection_opened
+    monkeypatch.setattr(Dispatcher, "connection_opened", lambda *arguments: opened.append(arguments))
+    client, connection = shop.client()
+    shop.send(client, read(1, d=60_000))
+    shop.loop.run_until(lambda: opened)
+    connection.transport.pauseProducing()
+    close_client(client, how)
+    wait_for_close(connection)
+    monkeypatch.undo()
+    for arguments in opened:
+        connection_opened(*arguments)
+    shop.loop.settle()
+    assert not shop.node.commands and not shop.open and not shop.service.gateway.in_flight
+
+
 @pytest.mark.parametrize("how", ["close", "half"])
 def test_the_end_of_a_slow_reader_whose_replies_pile_up_is_seen(make_shop, how):
     long_value = bytes(range(256)) * 3600
