What clients send at once is handled in turns, bounded for each iteration

A connection could have 256 commands handled in one iteration of the event loop, and a hundred connections 25,600: others waited for all of them. resp/input_turns.py handles four of a read at once, the rest in turns of 16, 128 for all connections together.

--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -21,7 +21,8 @@
 from ochrecourse.service.start_settings import parse_start_settings
 from ochrecourse.resp import codec
 from ochrecourse.resp import server
-from ochrecourse.resp import client_connection, pipeline
+from ochrecourse.resp import input_turns, pipeline
+from ochrecourse.resp.client_connection import RespClientConnection
 from ochrecourse.resp.lingering_close import DRAIN_SECONDS, LINGER_SECONDS
 from ochrecourse.standins.resp_node import ListAgent, RespNode, success_reply
 from ochrecourse.common.monotonic_reactor import unread_since
@@ -242,6 +243,49 @@
     assert shop.service.gateway.request_log.received <= 32 and not shop.server.totals.unanswered_commands
 
 
+# --- what clients send at once is handled in turns ---
+
+
+def test_one_iteration_handles_a_bounded_number_of_commands_however_many_clients_send(make_shop, monkeypatch):
+    """Guards against a flood of many clients that blocks the event loop for longer than others may wait."""
+    shop = make_shop(lambda arguments: None, sockets=512)
+    handled = []
+    handle = RespClientConnection._handle_command
+
+    def counted(connection, arguments):
+        handled.append(connection)
+        handle(connection, arguments)
+
+    monkeypatch.setattr(RespClientConnection, "_handle_command", counted)
+    floods = [shop.client() for _ in range(60)]
+    other, _ = shop.client()
+    for number, (client, _) in enumerate(floods):
+        client.sendall(b"".join(read(1000 * number + i, d=60_000) for i in range(1, 201)))
+    most = input_turns.COMMANDS_PER_ITERATION + input_turns.COMMANDS_PER_READ * len(floods)
+    shop.loop.iterate()  # reads all of them
+    other.sendall(PING)
+    for iteration in range(200):
+        before, handled[:] = len(handled), []
+        assert before <= most, f"{before} commands in one iteration"
+        shop.loop.iterate()
+        if iteration == 1:
+            assert read_available(other) == b"+PONG\r\n", "another client waits for all that was sent before"
+        if iteration == 20:
+            assert min(len(each.pipeline.slots) for _, each in floods) > 16, "some have no turn"
+    shop.loop.settle()
+    assert all(len(each.pipeline.slots) == 200 for _, each in floods)
+
+
+def test_a_connection_that_ended_has_no_turn(make_shop):
+    shop = make_shop(lambda arguments: None)
+    client, connection = shop.client()
+    client.sendall(PING * 200)
+    shop.loop.run_until(lambda: connection.reading_paused)
+    connection.transport.abortConnection()
+    shop.loop.settle()
+    assert not connection.connected and not shop.server.input_turns._waiting and not connection.pipeline.slots
+
+
 # --- no attempt begins for a client whose close is not read yet ---
 
 
@@ -457,7 +501,7 @@
         shop.loop.iterate()
         iterations += 1
         got += read_available(flooding)
-    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // client_connection.COMMANDS_PER_ITERATION
+    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // input_turns.COMMANDS_PER_ITERATION
 
 
 # --- attempts after a client's close ---
