The memory of all connections together is limited by that of the process

Bodies of running requests and replies that wait were bounded by nothing, and limits.memory_mb was only logged. A connection may now use as much as is left for all, one with nothing open nearly always finds room, and what finds none is refused in words.

--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -78,6 +78,7 @@
         if not self.input_discarded and self.connected:
             self.parser.feed(data)
             self._process_input()
+            self.pipeline.input_buffered(self.parser.buffered_bytes())
 
     def connectionLost(self, reason: Any = None) -> None:
         """Cancels all requests when the client closes its connection or sending side (Twisted callback)."""
@@ -119,6 +120,8 @@
         finally:
             self.processing = False
         self._advance()
+        if self.connected:
+            self.pipeline.input_buffered(self.parser.buffered_bytes())
         return self.reading_paused and bool(self.connected)
 
     def _parse_commands(self, limit: int) -> None:
@@ -262,6 +265,7 @@
         self.input_discarded = True
         self._stop_timers()
         self.parser = CommandParser()
+        self.pipeline.input_buffered(0)
         self._resume_reading()
 
     # --- replies ---
@@ -370,6 +374,7 @@
 
     def body_chunk(self, request_id: int, data: bytes) -> None:
         """Writes the complete value: RESP2 nodes' replies are not streamed."""
+        self.pipeline.value_received(len(data))
         self._finish(request_id, encode_bulk_string(data))
 
     def aborted(self, request_id: int) -> None:
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -19,6 +19,7 @@
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.resp.commands import RequestClasses
 from ochrecourse.resp.node_connection import dialler
+from ochrecourse.resp.pipeline import memory_limit
 from ochrecourse.resp.server import RespServerFactory
 from ochrecourse.service.discovery import (
     DiscoveredEndpoints,
@@ -108,6 +109,7 @@
             shares.clients,
             start.max_open_files // EVICTION_DIVISOR,
         )
+        self.server.totals.memory_limit = memory_limit(start.memory_mb)
         self.gateway.observers = [self.server]
         zones = [zone for zone in start.values.get("Zones", "").split(",") if zone]
         self.endpoints = DiscoveredEndpoints(zones, environment.unix_ns - now_ns(network))
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -243,6 +243,72 @@
     assert shop.service.gateway.request_log.received <= 32 and not shop.server.totals.unanswered_commands
 
 
+# --- the memory of all connections ---
+
+
+def test_the_memory_of_connections_follows_from_that_of_the_process():
+    assert pipeline.memory_limit(0) == pipeline.memory_limit(1000) == pipeline.MAX_MEMORY_LIMIT
+    assert pipeline.memory_limit(32) == pipeline.MIN_MEMORY_LIMIT < pipeline.memory_limit(64)
+    for memory_mb in (64, 96, 192):
+        assert pipeline.PROCESS_BYTES + 2 * pipeline.memory_limit(memory_mb) <= memory_mb * 1_000_000
+    assert Shop().service.server.totals.memory_limit == pipeline.MAX_MEMORY_LIMIT
+
+
+@pytest.mark.parametrize("count", [1, 4, 12])
+def test_running_requests_of_all_connections_are_bounded_in_memory_and_cost_nobody_the_next_one(
+    make_shop, count
+):
+    """Guards against a process that is killed for its memory: bodies of running requests were bounded by nothing."""
+    shop = make_shop(lambda arguments: None)
+    totals = shop.server.totals
+    totals.memory_limit = 1_000_000
+    clients = [shop.client() for _ in range(count)]
+    body = b"x" * 30_000
+    for number, (client, _) in enumerate(clients):
+        shop.send(client, b"".join(write(100 * number + i, body=body, d=60_000) for i in range(1, 61)) + PING)
+        shop.loop.settle()
+        assert totals.memory_bytes <= totals.memory_limit + len(body) * count
+    most = max(len(each.in_flight) for _, each in clients)
+    assert 0 < most <= 1_000_000 / len(body) / 2 and all(each.in_flight for _, each in clients)
+    shop.node.reply = success_reply
+    other, connection = shop.client()
+    shop.send(other, read(9_999, d=60_000))
+    shop.loop.settle()
+    assert connection.in_flight and not read_available(other)
+    for peer in list(shop.node.peers):
+        peer.transport.abortConnection()
+    for _ in range(MAX_ITERATIONS):
+        if not shop.open:
+            break
+        shop.loop.now += 0.1
+        shop.loop.settle()
+    for client, _ in clients:
+        replies = codec.ReplyParser()
+        replies.feed(read_available(client))
+        got = []
+        while (one := replies.next()) is not None:
+            got.append(one[0])
+        assert len(got) == 61 and got[-1] == codec.SimpleString(b"PONG")
+    assert totals.memory_bytes == 0
+
+
+def test_the_expected_size_of_replies_counts_before_they_come(make_shop):
+    """Guards against reads whose values together use more than the process may."""
+    shop = make_shop(lambda arguments: b"*1\r\n" + codec.encode_bulk_string(b"x" * 60_000))
+    client, connection = shop.client()
+    for number in range(1, 200):
+        shop.send(client, read(number, d=60_000))
+        shop.loop.run_until(lambda: not connection.pipeline.slots)
+        read_available(client)
+        shop.loop.now += 0.02
+    assert shop.server.totals.reply_size > 50_000
+    shop.server.totals.memory_limit = 600_000
+    shop.node.reply = lambda arguments: None
+    shop.send(client, b"".join(read(number, d=60_000) for number in range(1_000, 1_040)))
+    shop.loop.settle()
+    assert 2 <= len(connection.in_flight) <= 6 and len(connection.pipeline.slots) == 40
+
+
 # --- what clients send at once is handled in turns ---
 
 
