--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -19,8 +19,8 @@
 from ochrecourse.common.event_loop_lag import NEGLIGIBLE_LAG, EventLoopLag
 from ochrecourse.common.request_records import RequestOutcome, RequestRecord
 from ochrecourse.common.requests import BadRequestError, Request, ResponseHandler
-from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
-from ochrecourse.common.time_units import SECOND
+from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
+from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.gateway.graceful_shutdown import ShutdownStage
 from ochrecourse.gateway.input_catch_up import ITERATIONS_BEHIND, InputCatchUp
 from ochrecourse.gateway.request_executor import InFlightRequest, RequestExecutor
@@ -34,7 +34,7 @@
 
 # A dial is slow after this fraction of the shortest latency objective, which leaves time for a second dial.
 SLOW_DIAL_FRACTION = 0.1
-SHUTDOWN_CHECK_DELAY = 0.001  # s after the last deadline, so that the timers of that deadline have fired
+SHUTDOWN_CHECK_DELAY = MS  # after the last deadline, so that the timers of that deadline have fired
 
 
 class RequestObserver(Protocol):
@@ -254,8 +254,7 @@
         """Rejects new requests and calls `on_drained` when all requests in flight are finished."""
         now = now_ns(self.clock)
         if self.shutdown.begin(now, self.request_log.latest_answer_at()):
-            wait = max(0, self.shutdown.finish_by - now) / SECOND + SHUTDOWN_CHECK_DELAY
-            self.clock.callLater(wait, self._check_drained)
+            call_at(self.clock, self.shutdown.finish_by + SHUTDOWN_CHECK_DELAY, self._check_drained)
             self._check_drained()
 
     def stop(self) -> None:
@@ -294,7 +293,7 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._due = max(due, now)
-            self._timer = self.clock.callLater((self._due - now) / SECOND, self._timer_fired)
+            self._timer = call_at(self.clock, self._due, self._timer_fired)
 
     def _execute_decisions(self) -> int:
         """Executes the scheduler's decisions until there are none; returns the time of the last call."""
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
+from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
 from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.nodes.dial_manager import AbandonDial, DialManager, DialSettings
 from ochrecourse.nodes.outcome import (
@@ -28,7 +28,7 @@
 from ochrecourse.nodes.pool import ConnectionStatus, Pool, PooledConnection, PoolLimits
 from ochrecourse.wire import messages as m
 
-IDLE_CHECK_DELAY_S = 0.001  # after the idle time-out of the next connection, so that it has passed for sure
+IDLE_CHECK_DELAY = MS  # after the idle time-out of the next connection, so that it has passed for sure
 
 Address = tuple[str, int]  # host and port
 # Starts a dial, whose result is reported to the dispatcher. Returns a function that abandons the dial, None
@@ -307,13 +307,13 @@
         attempt.write_before = limits.write_before
         self._start_response_timer(attempt, attempt.sent_at + max(0, limits.response_timeout))
         if limits.write_before and limits.write_before < attempt.sent_at + limits.response_timeout:
-            time_left = max(0, limits.write_before - attempt.sent_at) / SECOND
-            attempt.write_timer = self.clock.callLater(time_left, self._write_deadline_passed, attempt)
+            attempt.write_timer = call_at(
+                self.clock, limits.write_before, self._write_deadline_passed, attempt
+            )
 
     def _start_response_timer(self, attempt: OutgoingAttempt, due: int) -> None:
         attempt.response_due = due
-        time_left = max(0, due - now_ns(self.clock)) / SECOND
-        attempt.response_timer = self.clock.callLater(time_left, self._response_timed_out, attempt)
+        attempt.response_timer = call_at(self.clock, due, self._response_timed_out, attempt)
 
     def _write_deadline_passed(self, attempt: OutgoingAttempt) -> None:
         """Cancels an attempt that is not completely written; the node never runs an incomplete attempt."""
@@ -377,8 +377,7 @@
     def _schedule_idle_check(self) -> None:
         deadline = self.pool.next_idle_deadline()
         if deadline is not None and self._idle_timer is None:
-            time_left = max(0, deadline - now_ns(self.clock)) / SECOND
-            self._idle_timer = self.clock.callLater(time_left + IDLE_CHECK_DELAY_S, self._close_idle)
+            self._idle_timer = call_at(self.clock, deadline + IDLE_CHECK_DELAY, self._close_idle)
 
     def _close_idle(self) -> None:
         self._idle_timer = None
