A log that nobody reads neither ends a gateway nor hides its SIGTERM

A line that could not be written raised after the shutdown was noted, so that nothing began and further signals were passed over. Such lines are dropped.

--- a/ochrecourse/service/main.py
+++ b/ochrecourse/service/main.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
-import sys
 import time
 from typing import Any, cast
 
@@ -24,14 +24,18 @@
 )
 from ochrecourse.common.predecessor import PredecessorWait, is_port_in_use
 
+STANDARD_ERROR = 2  # file descriptor
 EXIT_OK = 0
 EXIT_CANNOT_START = 2  # the start file is missing or invalid, or the port can't be opened
 
 
 def log(text: str) -> None:
-    """Writes a line to standard error, prefixed with the Unix time in seconds."""
-    sys.stderr.write(f"{time.time():.3f} {text}\n")
-    sys.stderr.flush()
+    """Writes a line to standard error, prefixed with the Unix time in seconds; drops it if nobody reads.
+
+    The descriptor is written directly: what a buffer can't write would fail again at the end of the process.
+    """
+    with contextlib.suppress(OSError):
+        os.write(STANDARD_ERROR, f"{time.time():.3f} {text}\n".encode())
 
 
 def run(signals: SignalHandler) -> int:
