Deadlines leave room for the event loop's measured lag, so that a last word is in time

An attempt could last until half of gateway.travel before the client's time; on a loop that lags more its request was closed without an answer. The deadline is now earlier by the worst lag of the last 5 s. The platform does without.

The first requests on a loop that begins to lag are still closed without a word.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -34,6 +34,10 @@
 
 # A dial is slow after this fraction of the shortest latency objective, which leaves time for a second dial.
 SLOW_DIAL_FRACTION = 0.1
+# A request's deadline is earlier by the worst lag of the event loop in this time, so that its final response
+# is sent in time also when the timer that ends its last attempt lags as much.
+LAG_WINDOW = 5 * SECOND
+MAX_LAG_DIVISOR = 4  # at most this fraction of the client's timeout
 SHUTDOWN_CHECK_DELAY = MS  # after the last deadline, so that the timers of that deadline have fired
 
 
@@ -87,6 +91,7 @@
         self.on_list_wanted: Callable[[], None] | None = None
         self.entries: dict[int, NodeEntry] = {}
         self.rejected_on_arrival = 0
+        self.expects_lag = True  # False if a client that gets its response late gets one all the same
         self.shutdown_deadline = 0  # clock time (ns) by which all requests must be answered; 0: none
         self._last_request_id = 0
         self._reserved_places: dict[int, Callable[[int], None]] = {}  # with what to call when one is wanted
@@ -147,9 +152,10 @@
         if not 0 < request.units < 1e9 or not 0 < request.timeout < 1e15 or not 1 <= request.gateways < 1e6:
             raise BadRequestError("bad_figure", "units, timeout and gateways must be above 0")
         now = now_ns(self.clock)
-        deadline = self.event_loop_lag.earliest_arrival(request.read_at) + request.timeout - self.travel
+        latest = self.event_loop_lag.earliest_arrival(request.read_at) + request.timeout - self.travel
         if self.shutdown_deadline:
-            deadline = min(deadline, self.shutdown_deadline)
+            latest = min(latest, self.shutdown_deadline)
+        deadline = latest - self._expected_lag(request, now)
         if deadline <= now:
             raise BadRequestError("late_body", "its client's time was over before it was whole here")
         request_id = self.next_request_id()
@@ -162,7 +168,7 @@
             return request_id
         record = RequestRecord(
             request_id, request_class, tenant, request.volume, request.units, now, deadline,
-            deadline + self.travel // 2, request.trace
+            latest + self.travel // 2, request.trace
         )  # fmt: skip
         self.request_log.add(record)
         self.in_flight[request_id] = InFlightRequest(request, handler, record, client_gone)
@@ -175,6 +181,13 @@
         self._submit_to_scheduler(record, request, now, place)
         return request_id
 
+    def _expected_lag(self, request: Request, now: int) -> int:
+        """Returns how much the event loop may lag at the request's deadline, in ns."""
+        if not self.expects_lag:
+            return 0
+        lag = self.event_loop_lag.worst_since(now - LAG_WINDOW)
+        return min(lag, request.timeout // MAX_LAG_DIVISOR)
+
     def reserve_place(self, request: Request, on_wanted: Callable[[int], None]) -> int:
         """Reserves the place, in the order of its key, of a request that is submitted later; 0 for none.
 
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -110,6 +110,7 @@
             start.max_open_files // EVICTION_DIVISOR,
         )
         self.server.totals.memory_limit = memory_limit(start.memory_mb)
+        self.gateway.expects_lag = False  # the server answers in words when it is too late
         self.gateway.observers = [self.server]
         zones = [zone for zone in start.values.get("Zones", "").split(",") if zone]
         self.endpoints = DiscoveredEndpoints(zones, environment.unix_ns - now_ns(network))
