Volumes whose state is that of a new one are forgotten, beyond 4,096

A volume without open requests whose buckets are full is forgotten, two looked at for each new one, so a limit is never had anew. An open request also counts another 1,024 bytes in the memory of all connections: 1.6 KB were measured.

--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -25,6 +25,7 @@
 MAX_QUEUED_BYTES = 8_388_608  # of requests queued on one connection: 128 of the largest
 MAX_QUEUED_BYTES_TOTAL = 25_165_824  # of requests queued on all; a small fraction of a gateway's memory
 QUEUED_REQUEST_OVERHEAD_BYTES = 1_024  # memory of a queued request in addition to its value
+REQUEST_MEMORY_OVERHEAD_BYTES = 1_024  # the same of an open request, in addition, in the memory of all
 PROCESS_BYTES = 41_943_040  # memory of a process without requests, with its connections
 MIN_MEMORY_LIMIT = 4_194_304  # bytes; the least limit, however little the process may use
 MAX_MEMORY_LIMIT = 67_108_864  # bytes; the highest limit
@@ -115,7 +116,7 @@
         """Queues a request. Returns False if it can't start at once and there is no memory to queue it."""
         size = slot.queued_bytes()
         totals = self.totals
-        memory_bytes = size + round(totals.reply_size)
+        memory_bytes = size + REQUEST_MEMORY_OVERHEAD_BYTES + round(totals.reply_size)
         if not self._has_room(memory_bytes):
             return False
         if write_blocked or self.running + len(self.queued) >= MAX_RUNNING_REQUESTS:
--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Mapping, Sequence
 
 from ochrecourse.common.time_units import SECOND
@@ -41,6 +41,7 @@
 from ochrecourse.scheduler.state import Flow, Node, PendingRequest, QueueHead
 from ochrecourse.scheduler.timers import NEVER, TimerQueue
 
+MAX_VOLUMES = 4_096  # whose state is kept although it is that of a new volume; a gateway serves far fewer
 IDLE_WAKE_INTERVAL = SECOND  # ns until `decide` must be called again when no timer is set
 
 
@@ -69,7 +70,7 @@
         self.fair_queue = FairQueue()
         self.endpoints = Endpoints(settings.polls_endpoints)
         self.nodes = self.endpoints.nodes
-        self.volumes: dict[int, Volume] = {}
+        self.volumes: OrderedDict[int, Volume] = OrderedDict()
         self.requests: dict[int, PendingRequest] = {}
         self._review_queue: deque[PendingRequest] = deque()  # requests that need a decision
 
@@ -108,10 +109,12 @@
         volume = self.volumes.get(request.volume)
         if volume is None:
             tenant = self.settings.tenant(request.tenant)
+            self._forget_volumes()
             volume = self.volumes[request.volume] = Volume(tenant, request.gateways, self._started_at)
         request_class = self.settings.request_classes[request.request_class]
         pace = self.latency.paces[request.request_class]
         pending = self.requests[request.id] = PendingRequest(request, request_class, pace, volume, now)
+        volume.open_requests += 1
         self.retries.request_received(now)
         if pending.is_next_for_key:
             self._review_queue.append(pending)
@@ -120,6 +123,17 @@
             self._advance_key(request.key)
         self._timers.add(pending.serve_by - self._answer_margin, timers.ReviewRequest(pending))
 
+    def _forget_volumes(self) -> None:
+        """Forgets volumes, the oldest first, whose state is that of a new one; two for each new volume."""
+        for _ in range(2):
+            if len(self.volumes) < MAX_VOLUMES:
+                return
+            volume_id, volume = next(iter(self.volumes.items()))
+            if volume.is_as_new(self._now):
+                del self.volumes[volume_id]
+            else:
+                self.volumes.move_to_end(volume_id)
+
     def reserve_place(self, request_class: int, key: int) -> int:
         """Reserves a place in the order of a key for a request that is received later; 0 without an order."""
         if not key or not self.settings.request_classes[request_class].in_key_order:
@@ -312,7 +326,8 @@
     def _close(self, pending: PendingRequest) -> None:
         """Releases the state of a finished request, once no attempt of it is outstanding."""
         if not pending.attempt_outstanding:
-            self.requests.pop(pending.request.id, None)
+            if self.requests.pop(pending.request.id, None):
+                pending.volume.open_requests -= 1
             pending.release_drawn()
         if pending.in_key_order:
             self._advance_key(pending.request.key)
