Only replies that may have to wait count before they come

The memory of all connections counted the mean size of values for each open read: in a surge of single reads of large values a small gateway would have refused what it can serve, since those replies are written as they come. Now for requests behind another of their connection.

--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -116,7 +116,9 @@
         """Queues a request. Returns False if it can't start at once and there is no memory to queue it."""
         size = slot.queued_bytes()
         totals = self.totals
-        memory_bytes = size + REQUEST_MEMORY_OVERHEAD_BYTES + round(totals.reply_size)
+        memory_bytes = size + REQUEST_MEMORY_OVERHEAD_BYTES
+        if self.slots:  # its reply may have to wait for those before it
+            memory_bytes += round(totals.reply_size)
         if not self._has_room(memory_bytes):
             return False
         if write_blocked or self.running + len(self.queued) >= MAX_RUNNING_REQUESTS:
