--- a/ochrecourse/resp/input_turns.py
+++ b/ochrecourse/resp/input_turns.py
@@ -48,12 +48,14 @@
 
     def _run(self) -> None:
         self._timer = None
-        for _ in range(COMMANDS_PER_ITERATION // COMMANDS_PER_TURN):
-            connection = next(iter(self._waiting), None)
-            if connection is None:
-                return
-            del self._waiting[connection]
-            if connection.process_commands(COMMANDS_PER_TURN):
-                self._waiting[connection] = None
-        if self._waiting and self._timer is None:
-            self._timer = self._clock.callLater(0, self._run)
+        try:
+            for _ in range(COMMANDS_PER_ITERATION // COMMANDS_PER_TURN):
+                connection = next(iter(self._waiting), None)
+                if connection is None:
+                    return
+                del self._waiting[connection]
+                if connection.process_commands(COMMANDS_PER_TURN):
+                    self._waiting[connection] = None
+        finally:  # a mistake in one connection must not take the others' turns
+            if self._waiting and self._timer is None:
+                self._timer = self._clock.callLater(0, self._run)
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -342,6 +342,28 @@
     assert all(len(each.pipeline.slots) == 200 for _, each in floods)
 
 
+def test_a_mistake_in_one_connection_does_not_take_the_turns_of_the_others():
+    class Waiting:
+        def __init__(self, mistake):
+            self.mistake, self.limits = mistake, []
+
+        def process_commands(self, limit):
+            self.limits.append(limit)
+            if self.mistake:
+                raise RuntimeError("made on purpose")
+            return len(self.limits) < 3
+
+    network = VirtualNetwork(1)
+    turns = input_turns.InputTurns(network)
+    first, second = Waiting(True), Waiting(False)
+    turns.add(first)
+    turns.add(second)
+    with pytest.raises(RuntimeError):
+        network.advance(0)
+    network.advance(0)
+    assert first.limits == [input_turns.COMMANDS_PER_TURN] and len(second.limits) == 3
+
+
 def test_a_connection_that_ended_has_no_turn(make_shop):
     shop = make_shop(lambda arguments: None)
     client, connection = shop.client()
