An answer that stands unread after a blocked loop is read before its attempt times out

Timers are called before sockets are read, so an answer that had come in time counted as none, and its request was sent again or failed.

Shown by a test in test_node_connections.py, whose answered case failed before; the state machine of node connections and the records of behaviour pass unchanged.

--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ochrecourse.common.event_loop_lag import NEGLIGIBLE_LAG
 from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
 from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.nodes.dial_manager import AbandonDial, DialManager, DialSettings
@@ -28,6 +29,7 @@
 from ochrecourse.nodes.pool import ConnectionStatus, Pool, PooledConnection, PoolLimits
 from ochrecourse.wire import messages as m
 
+READS_AFTER_LAG = 2  # iterations of the event loop, each of which reads 64 KiB of a connection
 IDLE_CHECK_DELAY = MS  # after the idle time-out of the next connection, so that it has passed for sure
 
 Address = tuple[str, int]  # host and port
@@ -321,9 +323,18 @@
         if not attempt.ended and attempt.write_progress() is not WriteProgress.COMPLETE:
             self._give_up(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
 
-    def _response_timed_out(self, attempt: OutgoingAttempt) -> None:
-        """Ends an attempt without a response; one that has begun ends only after its stall time-out."""
+    def _response_timed_out(self, attempt: OutgoingAttempt, pending_reads: int = READS_AFTER_LAG) -> None:
+        """Ends an attempt without a response; one that has begun ends only after its stall time-out.
+
+        The event loop calls timers before it reads: if it was blocked, a response that arrived in time may
+        not be read yet, so the next iterations read first.
+        """
         attempt.response_timer = None
+        if pending_reads and now_ns(self.clock) - attempt.response_due > NEGLIGIBLE_LAG:
+            attempt.response_timer = self.clock.callLater(
+                0, self._response_timed_out, attempt, pending_reads - 1
+            )
+            return
         time_left = attempt.last_received_at + attempt.stall_timeout - self.clock.seconds()
         if attempt.response is not None and time_left > 0:
             attempt.response_timer = self.clock.callLater(time_left, self._response_timed_out, attempt)
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -476,6 +476,23 @@
     assert harness.ends[1][1] in (AttemptEvent.CLOSED_AFTER_WRITE, AttemptEvent.VIOLATION)
 
 
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_response_that_stands_unread_after_the_event_loop_was_blocked_is_in_time(answers):
+    """Guards against an attempt that counts as unanswered, and is sent again, though its answer came in time."""
+    harness = RespDispatcherHarness()
+    harness.send(1, timeout=SECOND)
+    connection = harness.connect()
+    harness.network.advance(0.9)
+    harness.network.now += 0.3  # without calling timers
+    if answers:
+        harness.network.callLater(
+            0, connection.dataReceived, reply_to(1)
+        )  # read behind the timers that are due
+    harness.network.advance(0)
+    harness.network.advance(0.01)
+    assert harness.ends == [(1, AttemptEvent.SERVED if answers else AttemptEvent.TIMEOUT)]
+
+
 # --- limits between the decision and the write of an attempt ---
 
 
