--- a/ochrecourse/bgp/speaker.py
+++ b/ochrecourse/bgp/speaker.py
@@ -24,7 +24,7 @@
 from ochrecourse.bgp.session import Close, Connect, PeerFsm, Send, SessionSettings
 from ochrecourse.bgp.speaker_settings import AddressSettings, PeerSettings, SpeakerSettings
 from ochrecourse.common.event_loop_lag import EventLoopLag
-from ochrecourse.common.runtime import Network, Timer, call_at, now_ns, stop
+from ochrecourse.common.runtime import Network, Timer, now_ns, stop
 from ochrecourse.common.time_units import SECOND
 
 UPDATE_INTERVAL_S = (
@@ -340,14 +340,13 @@
         if self._timer is None or due < self._due:
             stop(self._timer)
             self._due = max(due, self.now())
-            self._timer = call_at(self.network, self._due, self._timer_fired)
+            self._timer = self.network.callLater((self._due - self.now()) / SECOND, self._timer_fired)
 
     def _timer_fired(self) -> None:
         self._timer = None
         now = self.now()
         self.loop_lag.timer_fired(self._due, now)
-        drain_due = self.drain.next_due()
-        if now >= self._update_due or (drain_due is not None and now >= drain_due):
+        if now >= self._update_due:
             self.update()
         else:
             self.run_actions()
--- a/ochrecourse/common/runtime.py
+++ b/ochrecourse/common/runtime.py
@@ -50,14 +50,6 @@
         timer.cancel()
 
 
-def call_at(clock: Clock, at: int, call: Callable[..., object], *args: Any) -> Any:
-    """Schedules a call at clock time `at` (ns), or at once if that is past, and returns its `Timer`.
-
-    A clock refuses a negative delay, and a time may pass between the decision on it and this call.
-    """
-    return clock.callLater(max(0, at - now_ns(clock)) / SECOND, call, *args)
-
-
 def now_ns(clock: Clock) -> int:
     """Returns the clock's time in integer nanoseconds."""
     return round(clock.seconds() * SECOND)
--- a/ochrecourse/fleet/log_store.py
+++ b/ochrecourse/fleet/log_store.py
@@ -128,7 +128,6 @@
         self._last_incarnation = 0
         self._promise_limit = Timestamp(0, 0)
         self._durable_promise_limit = Timestamp(0, 0)
-        self._captured_promise_limit = Timestamp(0, 0)  # in the records of the newest rewrite
         self._last_promise = Timestamp(0, 0)
         self.on_reported: Callable[[], None] = _do_nothing  # called after the results of one or more appends
         self.is_beginning_incarnation = False  # a new incarnation is being written to the journal
@@ -179,7 +178,6 @@
 
     def _all_records(self) -> Iterator[bytes]:
         """All records of the current state; later changes do not affect the iterator."""
-        self._captured_promise_limit = self._promise_limit
         head_records: list[_Record] = [
             IncarnationRecord(self._last_incarnation),
             PromiseRecord(self._promise_limit),
@@ -324,17 +322,13 @@
             self._write_promise_limit(self._promise_limit)
         if self.log.drafts:
             promise = min(promise, previous_timestamp(self.log.drafts[0].at))
-        # A failed disk must not stop the frontier: nothing is appended here until the disk works again. From
-        # the first operation that may succeed again, promises are durable.
-        has_failed = self.writer.closed or not self.writer.intact
-        limit = self._promise_limit if has_failed else self._durable_promise_limit
-        self._last_promise = max(self._last_promise, min(promise, limit))
+        self._last_promise = max(self._last_promise, min(promise, self._durable_promise_limit))
         return self._last_promise
 
     def _write_promise_limit(self, upto: Timestamp) -> None:
         def on_written(error: OSError | None) -> None:
-            if error is None:
-                self._durable_promise_limit = max(self._durable_promise_limit, upto)
+            # A failed disk must not stop the frontier: nothing is appended here until the disk works again.
+            self._durable_promise_limit = max(self._durable_promise_limit, upto)
 
         self.writer.write([_encode(PromiseRecord(upto))], True, on_written)
 
@@ -420,7 +414,6 @@
         self.on_reported()
 
     def _rewritten(self) -> None:
-        self._durable_promise_limit = max(self._durable_promise_limit, self._captured_promise_limit)
         self._obsolete_bytes, self._retirements_at_rewrite = -self.log.freed_bytes, self.log.retirement_count
 
     def _failed(self, error: OSError) -> None:
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -19,8 +19,8 @@
 from ochrecourse.common.event_loop_lag import NEGLIGIBLE_LAG, EventLoopLag
 from ochrecourse.common.request_records import RequestOutcome, RequestRecord
 from ochrecourse.common.requests import BadRequestError, Request, ResponseHandler
-from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
-from ochrecourse.common.time_units import MS, SECOND
+from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
+from ochrecourse.common.time_units import SECOND
 from ochrecourse.gateway.graceful_shutdown import ShutdownStage
 from ochrecourse.gateway.input_catch_up import ITERATIONS_BEHIND, InputCatchUp
 from ochrecourse.gateway.request_executor import InFlightRequest, RequestExecutor
@@ -34,11 +34,7 @@
 
 # A dial is slow after this fraction of the shortest latency objective, which leaves time for a second dial.
 SLOW_DIAL_FRACTION = 0.1
-# A request's deadline is earlier by the worst lag of the event loop in this time, so that its final response
-# is sent in time also when the timer that ends its last attempt lags as much.
-LAG_WINDOW = 5 * SECOND
-MAX_LAG_DIVISOR = 4  # at most this fraction of the client's timeout
-SHUTDOWN_CHECK_DELAY = MS  # after the last deadline, so that the timers of that deadline have fired
+SHUTDOWN_CHECK_DELAY = 0.001  # s after the last deadline, so that the timers of that deadline have fired
 
 
 class RequestObserver(Protocol):
@@ -91,10 +87,8 @@
         self.on_list_wanted: Callable[[], None] | None = None
         self.entries: dict[int, NodeEntry] = {}
         self.rejected_on_arrival = 0
-        self.expects_lag = True  # False if a client that gets its response late gets one all the same
         self.shutdown_deadline = 0  # clock time (ns) by which all requests must be answered; 0: none
         self._last_request_id = 0
-        self._reserved_places: dict[int, Callable[[int], None]] = {}  # with what to call when one is wanted
         self._deciding = False
         self._catch_up = InputCatchUp(clock, self.event_loop_lag, unread_since, self._decide)
         self._timer: Timer | None = None
@@ -131,17 +125,10 @@
         self.scheduler.node_rates_received(rates, now_ns(self.clock))
         self._pull()
 
-    def submit(
-        self,
-        request: Request,
-        handler: ResponseHandler,
-        place: int = 0,
-        client_gone: Callable[[], bool] | None = None,
-    ) -> int:
+    def submit(self, request: Request, handler: ResponseHandler) -> int:
         """Accepts a request and returns its id; the handler may be called before this returns.
 
-        `place`: reserved in the order of its key, 0 for none. `client_gone`: tells, if the client's protocol
-        can, whether the client has closed though that is not read yet. Raises BadRequestError.
+        Raises BadRequestError.
         """
         request_class = self.settings_index.classes.get(request.request_class)
         tenant = self.settings_index.tenants.get(request.tenant)
@@ -152,10 +139,9 @@
         if not 0 < request.units < 1e9 or not 0 < request.timeout < 1e15 or not 1 <= request.gateways < 1e6:
             raise BadRequestError("bad_figure", "units, timeout and gateways must be above 0")
         now = now_ns(self.clock)
-        latest = self.event_loop_lag.earliest_arrival(request.read_at) + request.timeout - self.travel
+        deadline = self.event_loop_lag.earliest_arrival(request.read_at) + request.timeout - self.travel
         if self.shutdown_deadline:
-            latest = min(latest, self.shutdown_deadline)
-        deadline = latest - self._expected_lag(request, now)
+            deadline = min(deadline, self.shutdown_deadline)
         if deadline <= now:
             raise BadRequestError("late_body", "its client's time was over before it was whole here")
         request_id = self.next_request_id()
@@ -168,47 +154,19 @@
             return request_id
         record = RequestRecord(
             request_id, request_class, tenant, request.volume, request.units, now, deadline,
-            latest + self.travel // 2, request.trace
+            deadline + self.travel // 2, request.trace
         )  # fmt: skip
         self.request_log.add(record)
-        self.in_flight[request_id] = InFlightRequest(request, handler, record, client_gone)
+        self.in_flight[request_id] = InFlightRequest(request, handler, record)
         if self.object_cache is not None:
             write = self.settings_index.writes[request_class]
             cache_handler = self.object_cache.request_received(request_id, request, write, deadline, handler)
             if cache_handler is None:
                 return request_id
             self.in_flight[request_id].handler = cache_handler
-        self._submit_to_scheduler(record, request, now, place)
+        self._submit_to_scheduler(record, request, now)
         return request_id
 
-    def _expected_lag(self, request: Request, now: int) -> int:
-        """Returns how much the event loop may lag at the request's deadline, in ns."""
-        if not self.expects_lag:
-            return 0
-        lag = self.event_loop_lag.worst_since(now - LAG_WINDOW)
-        return min(lag, request.timeout // MAX_LAG_DIVISOR)
-
-    def reserve_place(self, request: Request, on_wanted: Callable[[int], None]) -> int:
-        """Reserves the place, in the order of its key, of a request that is submitted later; 0 for none.
-
-        `on_wanted` is called with the place when a request waits behind it: its own is to be submitted now.
-        """
-        request_class = self.settings_index.classes.get(request.request_class)
-        if request_class is None:
-            return 0
-        place = self.scheduler.reserve_place(request_class, request.key)
-        if place:
-            self._reserved_places[place] = on_wanted
-        return place
-
-    def release_places(self, places: Sequence[int]) -> None:
-        """Releases places, also those whose requests have been submitted: these keep their order."""
-        for place in places:
-            del self._reserved_places[place]
-            self.scheduler.release_place(place, now_ns(self.clock))
-        if places:
-            self._pull()
-
     def next_request_id(self) -> int:
         """Returns the id of the next request, whose response may be delivered before `submit` returns."""
         return self._last_request_id + 1
@@ -267,7 +225,8 @@
         """Rejects new requests and calls `on_drained` when all requests in flight are finished."""
         now = now_ns(self.clock)
         if self.shutdown.begin(now, self.request_log.latest_answer_at()):
-            call_at(self.clock, self.shutdown.finish_by + SHUTDOWN_CHECK_DELAY, self._check_drained)
+            wait = max(0, self.shutdown.finish_by - now) / SECOND + SHUTDOWN_CHECK_DELAY
+            self.clock.callLater(wait, self._check_drained)
             self._check_drained()
 
     def stop(self) -> None:
@@ -293,12 +252,15 @@
             return
         self._deciding = True
         try:
-            now = self._execute_decisions()
-            while self._reserved_places and (wanted := self.scheduler.take_wanted_places()):
-                for place in wanted:
-                    if place in self._reserved_places:
-                        self._reserved_places[place](place)
-                now = self._execute_decisions()
+            while (decision := self.scheduler.decide(now := now_ns(self.clock))) is not None:
+                if isinstance(decision, Attempt):
+                    self._send(decision, now)
+                elif isinstance(decision, Reply):
+                    self._reply(decision, now)
+                elif decision is ListCall.FOLLOW:
+                    self.list_wanted = True
+                    if self.on_list_wanted is not None:
+                        self.on_list_wanted()
         finally:
             self._deciding = False
         due = self.scheduler.next_due()
@@ -306,20 +268,7 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._due = max(due, now)
-            self._timer = call_at(self.clock, self._due, self._timer_fired)
-
-    def _execute_decisions(self) -> int:
-        """Executes the scheduler's decisions until there are none; returns the time of the last call."""
-        while (decision := self.scheduler.decide(now := now_ns(self.clock))) is not None:
-            if isinstance(decision, Attempt):
-                self._send(decision, now)
-            elif isinstance(decision, Reply):
-                self._reply(decision, now)
-            elif decision is ListCall.FOLLOW:
-                self.list_wanted = True
-                if self.on_list_wanted is not None:
-                    self.on_list_wanted()
-        return now
+            self._timer = self.clock.callLater((self._due - now) / SECOND, self._timer_fired)
 
     def _iterations_behind(self) -> int:
         """Returns the number of event loop iterations until all unread input is reported; 0 if it is."""
--- a/ochrecourse/gateway/request_executor.py
+++ b/ochrecourse/gateway/request_executor.py
@@ -29,27 +29,12 @@
 class InFlightRequest:
     """The state of a request from its submission until it is finished."""
 
-    __slots__ = (
-        "attempt",
-        "client_gone",
-        "handler",
-        "record",
-        "request",
-        "response_began_at",
-        "response_bytes_left",
-    )
+    __slots__ = ("attempt", "handler", "record", "request", "response_began_at", "response_bytes_left")
 
-    def __init__(
-        self,
-        request: Request,
-        handler: ResponseHandler,
-        record: RequestRecord,
-        client_gone: Callable[[], bool] | None = None,
-    ) -> None:
+    def __init__(self, request: Request, handler: ResponseHandler, record: RequestRecord) -> None:
         self.request = request
         self.handler = handler
         self.record = record
-        self.client_gone = client_gone  # whether the client has closed, though that may not be read yet
         self.attempt: OutgoingAttempt | None = None
         self.response_bytes_left = 0
         self.response_began_at = 0  # ns, when the response of the current attempt began to stream; 0 before
@@ -95,10 +80,10 @@
 
     # --- scheduler ---
 
-    def _submit_to_scheduler(self, record: RequestRecord, request: Request, now: int, place: int = 0) -> None:
+    def _submit_to_scheduler(self, record: RequestRecord, request: Request, now: int) -> None:
         scheduled = interface.Request(
             record.number, record.request_class, record.tenant, request.volume, request.key, request.units,
-            request.shard, request.gateways, record.deadline, place
+            request.shard, request.gateways, record.deadline
         )  # fmt: skip
         self.scheduler.request_received(scheduled, now)
         self._pull()
@@ -134,9 +119,7 @@
         # wait. Any other request is retried at another node after the dial time-out of the settings.
         is_only_holder = request.shard >= 0 and self.ready_nodes_by_shard[request.shard] <= 1
         wait = record.received_at + index.latency_objectives[class_number] - now if is_only_holder else None
-        attempt = OutgoingAttempt(
-            request_id, decision.node, message, request.body, self, client_gone=in_flight.client_gone
-        )
+        attempt = OutgoingAttempt(request_id, decision.node, message, request.body, self)
         limits = AttemptLimits(timeout, stall, wait, decision.write_before)
         in_flight.attempt = self.nodes.send(attempt, limits)
 
@@ -213,8 +196,6 @@
         in_flight = self.in_flight[request_id]
         ending = VERDICTS[event].ending
         now = now_ns(self.clock)
-        if event is AttemptEvent.CANCELLED_BEFORE_WRITE and not attempt.is_wanted():
-            self.request_log.settle(request_id, RequestOutcome.CLIENT_CLOSED, now)
         number = attempt.message.number
         record, attempt_record = self.request_log.attempt_ended(request_id, number, ending, event.value, now)
         for observe in self.attempt_observers:
--- a/ochrecourse/interface.py
+++ b/ochrecourse/interface.py
@@ -73,7 +73,6 @@
     shard: int  # the shard that stores the data; negative for a new object, which any node may store
     gateways: int  # number of gateways that receive requests for the volume
     deadline: int  # clock time at which the client stops waiting
-    place: int = 0  # reserved in the order of its key; 0 for none
 
 
 @dataclass(slots=True)
@@ -139,18 +138,6 @@
     def request_received(self, request: Request, now: int) -> None:
         """Reports a new client request; `decide` returns its attempts or its reply."""
 
-    def reserve_place(self, request_class: int, key: int) -> int:
-        """Reserves a place in the order of a key, for a request that has arrived and is received later.
-
-        Returns its number; 0 if requests of this class and key have no order.
-        """
-
-    def release_place(self, place: int, now: int) -> None:
-        """Reports that the request for this place will not come; ignored if it has come."""
-
-    def take_wanted_places(self) -> list[int]:
-        """Returns the reserved places that block received requests, each once; their own should come now."""
-
     def attempt_written(self, request_id: int, now: int) -> None:
         """Reports that the request's current attempt was handed to a connection: it may run from now on."""
 
--- a/ochrecourse/lab/baselines.py
+++ b/ochrecourse/lab/baselines.py
@@ -58,17 +58,6 @@
         self.requests[request.id], self.attempts[request.id] = request, 0
         self._send(request)
 
-    def reserve_place(self, request_class: int, key: int) -> int:
-        """A textbook policy keeps no order."""
-        return 0
-
-    def release_place(self, place: int, now: int) -> None:
-        """See `reserve_place`."""
-
-    def take_wanted_places(self) -> list[int]:
-        """See `reserve_place`."""
-        return []
-
     def attempt_written(self, request_id: int, now: int) -> None:
         """A textbook policy counts from its decision."""
 
--- a/ochrecourse/lab/virtual.py
+++ b/ochrecourse/lab/virtual.py
@@ -135,8 +135,7 @@
         return self.now
 
     def callLater(self, delay: float, callable: Callable[..., object], *args: Any) -> Call:
-        assert delay >= 0, f"a delay of {delay} s"  # as the real one refuses it
-        call = Call(self, self.now + delay, callable, args)
+        call = Call(self, self.now + max(0.0, delay), callable, args)
         self.push(call)
         return call
 
--- a/ochrecourse/nodes/dial.py
+++ b/ochrecourse/nodes/dial.py
@@ -46,14 +46,6 @@
         self.dispatcher.connections[self.pooled.number] = connection
         return connection
 
-    def clientConnectionLost(self, connector: Any, reason: Any) -> None:
-        """Frees the transport of a connection that has ended (Twisted callback).
-
-        It and its connector refer to each other. Until a garbage collection, which a busy gateway postpones,
-        they would keep all that belongs to the connection in memory.
-        """
-        connector.transport = None
-
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
         """Reports a failed dial to the dispatcher (Twisted callback)."""
         self.dispatcher.dial_failed(self.pooled, AttemptEvent.DIAL_REFUSED)
--- a/ochrecourse/nodes/dial_manager.py
+++ b/ochrecourse/nodes/dial_manager.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
+from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.nodes.outcome import AttemptEvent
 from ochrecourse.nodes.pool import Pool, PooledConnection
@@ -126,8 +126,8 @@
 
     def _dial_is_slow(self, pooled: PooledConnection) -> None:
         """Queues a second dial beside the slow one, since another connection may open sooner."""
-        due = pooled.dialled_at + round(self.settings.timeout * SECOND)
-        timer = call_at(self.clock, due, self._dial_timed_out, pooled)
+        time_left = pooled.dialled_at / SECOND + self.settings.timeout - self.clock.seconds()
+        timer = self.clock.callLater(max(0.0, time_left), self._dial_timed_out, pooled)
         self.in_progress[pooled.number] = timer
         if self.pool.hedge_dial(pooled):
             self.owner.counts["dials beside a slow one"] += 1
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -12,8 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ochrecourse.common.event_loop_lag import NEGLIGIBLE_LAG
-from ochrecourse.common.runtime import Clock, Timer, call_at, now_ns, stop
+from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
 from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.nodes.dial_manager import AbandonDial, DialManager, DialSettings
 from ochrecourse.nodes.outcome import (
@@ -29,8 +28,7 @@
 from ochrecourse.nodes.pool import ConnectionStatus, Pool, PooledConnection, PoolLimits
 from ochrecourse.wire import messages as m
 
-READS_AFTER_LAG = 2  # iterations of the event loop, each of which reads 64 KiB of a connection
-IDLE_CHECK_DELAY = MS  # after the idle time-out of the next connection, so that it has passed for sure
+IDLE_CHECK_DELAY_S = 0.001  # after the idle time-out of the next connection, so that it has passed for sure
 
 Address = tuple[str, int]  # host and port
 # Starts a dial, whose result is reported to the dispatcher. Returns a function that abandons the dial, None
@@ -79,7 +77,6 @@
         self.connections: dict[int, NodeConnection] = {}  # by number in the pool
         self.in_flight: dict[int, OutgoingAttempt] = {}  # by number, including those waiting for a connection
         self.attempt_count = 0
-        self.closed_connections = 0  # since the start, also those that never opened
         self.counts: Counter[str] = Counter()
         self._idle_timer: Timer | None = None
 
@@ -208,7 +205,6 @@
         """Ends the attempts that were in flight on a connection that has ended."""
         pooled = connection.pooled
         self.connections.pop(pooled.number, None)
-        self.closed_connections += 1
         if end is ConnectionEnd.VIOLATION:
             self.counts["nodes that broke the protocol"] += 1
         if not connection.handshake_complete or self.dials.is_dialling(pooled):
@@ -294,10 +290,6 @@
             # When the event loop was blocked, the write deadline's timer may not have fired yet.
             self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
             return
-        if not attempt.is_wanted():
-            # Its client has closed, which may be read only after much else.
-            self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
-            return
         attempt.assigned_at = now
         self.connections[pooled.number].send(attempt)
         attempt.listener.attempt_written(attempt)
@@ -309,13 +301,13 @@
         attempt.write_before = limits.write_before
         self._start_response_timer(attempt, attempt.sent_at + max(0, limits.response_timeout))
         if limits.write_before and limits.write_before < attempt.sent_at + limits.response_timeout:
-            attempt.write_timer = call_at(
-                self.clock, limits.write_before, self._write_deadline_passed, attempt
-            )
+            time_left = max(0, limits.write_before - attempt.sent_at) / SECOND
+            attempt.write_timer = self.clock.callLater(time_left, self._write_deadline_passed, attempt)
 
     def _start_response_timer(self, attempt: OutgoingAttempt, due: int) -> None:
         attempt.response_due = due
-        attempt.response_timer = call_at(self.clock, due, self._response_timed_out, attempt)
+        time_left = max(0, due - now_ns(self.clock)) / SECOND
+        attempt.response_timer = self.clock.callLater(time_left, self._response_timed_out, attempt)
 
     def _write_deadline_passed(self, attempt: OutgoingAttempt) -> None:
         """Cancels an attempt that is not completely written; the node never runs an incomplete attempt."""
@@ -323,18 +315,9 @@
         if not attempt.ended and attempt.write_progress() is not WriteProgress.COMPLETE:
             self._give_up(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
 
-    def _response_timed_out(self, attempt: OutgoingAttempt, pending_reads: int = READS_AFTER_LAG) -> None:
-        """Ends an attempt without a response; one that has begun ends only after its stall time-out.
-
-        The event loop calls timers before it reads: if it was blocked, a response that arrived in time may
-        not be read yet, so the next iterations read first.
-        """
+    def _response_timed_out(self, attempt: OutgoingAttempt) -> None:
+        """Ends an attempt without a response; one that has begun ends only after its stall time-out."""
         attempt.response_timer = None
-        if pending_reads and now_ns(self.clock) - attempt.response_due > NEGLIGIBLE_LAG:
-            attempt.response_timer = self.clock.callLater(
-                0, self._response_timed_out, attempt, pending_reads - 1
-            )
-            return
         time_left = attempt.last_received_at + attempt.stall_timeout - self.clock.seconds()
         if attempt.response is not None and time_left > 0:
             attempt.response_timer = self.clock.callLater(time_left, self._response_timed_out, attempt)
@@ -388,7 +371,8 @@
     def _schedule_idle_check(self) -> None:
         deadline = self.pool.next_idle_deadline()
         if deadline is not None and self._idle_timer is None:
-            self._idle_timer = call_at(self.clock, deadline + IDLE_CHECK_DELAY, self._close_idle)
+            time_left = max(0, deadline - now_ns(self.clock)) / SECOND
+            self._idle_timer = self.clock.callLater(time_left + IDLE_CHECK_DELAY_S, self._close_idle)
 
     def _close_idle(self) -> None:
         self._idle_timer = None
--- a/ochrecourse/nodes/outgoing_attempt.py
+++ b/ochrecourse/nodes/outgoing_attempt.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -128,11 +127,6 @@
     response_timer: Timer | None = None
     connection_timer: Timer | None = None  # time-out of the wait for a connection
     write_timer: Timer | None = None
-    client_gone: Callable[[], bool] | None = None  # whether nobody waits for the response any more
-
-    def is_wanted(self) -> bool:
-        """Whether a client waits for the response."""
-        return self.client_gone is None or not self.client_gone()
 
     def write_progress(self) -> WriteProgress:
         """Returns how much of the attempt was written to the network."""
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -15,14 +15,12 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
-from ochrecourse.common.peer_close import peer_has_closed
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.resp.codec import CommandParser, RespProtocolError, encode_bulk_string
 from ochrecourse.resp.command_timer import CommandTimer
 from ochrecourse.resp.commands import parse_command
 from ochrecourse.resp.connection_owner import ConnectionOwner
-from ochrecourse.resp.input_turns import COMMANDS_PER_READ
 from ochrecourse.resp.lingering_close import LingeringClose
 from ochrecourse.resp.pipeline import CommandPipeline, ReplySlot
 from ochrecourse.resp.replies import (
@@ -35,6 +33,8 @@
     error_reply,
 )
 
+COMMANDS_PER_ITERATION = 256  # of one connection per event loop iteration, some ms, so that none starves
+
 
 @implementer(IPushProducer)
 class RespClientConnection(Protocol):
@@ -55,7 +55,7 @@
         self.input_discarded = False  # further input is not parsed
         self.lingering_close: LingeringClose | None = None  # set while this side closes the connection
         self.write_blocked = False  # back-pressure: the client reads too slowly
-        self.reading_paused = False  # complete commands may be buffered for the connection's next turn
+        self.reading_paused = False  # complete commands may be buffered for the loop's next iteration
         self.rejecting = False  # late in the shutdown: requests that have not started are rejected
         self.processing = False  # guards against re-entry while commands are parsed or started
         self.idle_since = 0.0  # clock time in s
@@ -78,7 +78,6 @@
         if not self.input_discarded and self.connected:
             self.parser.feed(data)
             self._process_input()
-            self.pipeline.input_buffered(self.parser.buffered_bytes())
 
     def connectionLost(self, reason: Any = None) -> None:
         """Cancels all requests when the client closes its connection or sending side (Twisted callback)."""
@@ -86,15 +85,12 @@
         if self.lingering_close is not None:
             self.lingering_close.connection_lost()
         self._stop_timers()
-        self.owner.input_turns.remove(self)
         self._command_timer.connection_lost()
         self.parser = CommandParser()
         self.owner.connection_closed(self)
-        places = self.pipeline.reserved_places()
         self.pipeline.clear()
         request_ids, self.in_flight = list(self.in_flight), {}
         self.gateway.cancel_all(request_ids)
-        self.gateway.release_places(places)
 
     def _stop_timers(self) -> None:
         self._command_timer.stop()
@@ -104,35 +100,27 @@
     # --- commands ---
 
     def _process_input(self) -> None:
-        """Handles the first complete commands that were read; those beyond `COMMANDS_PER_READ` wait."""
-        if not self.reading_paused and self.process_commands(COMMANDS_PER_READ):
-            self.owner.input_turns.add(self)
-
-    def process_commands(self, limit: int) -> bool:
-        """Handles at most `limit` complete commands; returns whether more may be buffered."""
+        """Handles complete commands, at most `COMMANDS_PER_ITERATION`."""
         if self.processing or self.input_discarded or not self.connected:
-            return False
+            return
         self.processing = True
         try:
-            self._parse_commands(limit)
+            self._parse_commands()
         except RespProtocolError as error:
             self._end_input(error)
         finally:
             self.processing = False
         self._advance()
-        if self.connected:
-            self.pipeline.input_buffered(self.parser.buffered_bytes())
-        return self.reading_paused and bool(self.connected)
 
-    def _parse_commands(self, limit: int) -> None:
-        for _ in range(limit):
+    def _parse_commands(self) -> None:
+        for _ in range(COMMANDS_PER_ITERATION):
             arguments = self.parser.next()
             if arguments is None:
                 self._resume_reading()
                 return
             self._command_completed()
             self._handle_command(arguments)
-        self._pause_reading()
+        self._continue_reading_next_iteration()
 
     def _command_completed(self) -> None:
         self._command_timer.command_completed()
@@ -140,10 +128,11 @@
             self.first_command_received = True
             self.owner.connection_sent_command(self)
 
-    def _pause_reading(self) -> None:
+    def _continue_reading_next_iteration(self) -> None:
         if not self.reading_paused:
             self.reading_paused = True
             self.transport.pauseProducing()
+        self._schedule_iteration()
 
     def _resume_reading(self) -> None:
         if self.reading_paused:
@@ -151,13 +140,16 @@
             self.transport.resumeProducing()
 
     def _schedule_iteration(self) -> None:
-        """Schedules the start of queued requests for the event loop's next iteration."""
+        """Schedules further work for the event loop's next iteration."""
         if self._iteration_timer is None:
             self._iteration_timer = self.clock.callLater(0, self._next_iteration)
 
     def _next_iteration(self) -> None:
         self._iteration_timer = None
-        self._advance()
+        if self.reading_paused:
+            self._process_input()
+        else:
+            self._advance()
 
     def _update_command_timer(self) -> None:
         """Starts or stops the time of a partial command; while reading is paused none of it counts."""
@@ -183,9 +175,6 @@
         if self.rejecting or not self.pipeline.enqueue(slot, self.write_blocked):
             self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
             return
-        if slot.queued_request is not None:
-            # It may be queued behind others of its connection, while those of other connections are started.
-            slot.place = self.gateway.reserve_place(slot.queued_request, self._place_wanted)
         self.owner.connection_busy(self)
 
     def _parse_request(self, arguments: list[bytes]) -> ReplySlot:
@@ -202,38 +191,20 @@
             slot, request = self.pipeline.start_next()
             self._submit(slot, request)
 
-    def _client_gone(self) -> bool:
-        """Whether the client has closed, also while this side has not read all that was sent before."""
-        return peer_has_closed(self.transport)
-
-    def _place_wanted(self, place: int) -> None:
-        """Submits a queued request that blocks others with the same key, whatever runs on this connection."""
-        started = self.pipeline.start_place(place)
-        if started is not None:
-            self._submit(*started)
-            self._advance()
-
     def _submit(self, slot: ReplySlot, request: Request) -> None:
         # The time in the queue behind others of its connection does not count against a request's timeout.
         request.read_at = now_ns(self.clock)
         request_id = self.gateway.next_request_id()
         self.in_flight[request_id] = slot  # before the call, which may deliver the reply before it returns
         try:
-            self.gateway.submit(request, self, slot.place, self._client_gone)
+            self.gateway.submit(request, self)
         except BadRequestError as error:
             del self.in_flight[request_id]
             if error.code == "late_body":
                 self.pipeline.complete(slot, TOO_LATE_REPLY)
             else:
                 self.pipeline.complete(slot, self._fail(RespProtocolError(error.code, str(error))))
-                self._reject_queued()
-        if slot.place:
-            self.gateway.release_places([slot.place])
-
-    def _reject_queued(self) -> None:
-        places = self.pipeline.reserved_places()
-        self.pipeline.reject_queued(BUSY_REPLY)
-        self.gateway.release_places(places)
+                self.pipeline.reject_queued(BUSY_REPLY)
 
     # --- protocol errors ---
 
@@ -255,7 +226,7 @@
 
     def _fail(self, error: RespProtocolError) -> bytes:
         """Records a protocol error, after which no request is accepted; returns the error line."""
-        self.protocol_error = error.with_traceback(None)  # whose frames would refer back to this connection
+        self.protocol_error = error
         self.owner.counts[error.code] += 1
         self._command_timer.stop()
         return error_reply(error)
@@ -265,7 +236,6 @@
         self.input_discarded = True
         self._stop_timers()
         self.parser = CommandParser()
-        self.pipeline.input_buffered(0)
         self._resume_reading()
 
     # --- replies ---
@@ -335,7 +305,7 @@
     def reject_queued(self) -> None:
         """Rejects queued requests and drops a partial command, since the process is about to exit."""
         self.rejecting = True
-        self._reject_queued()
+        self.pipeline.reject_queued(BUSY_REPLY)
         self._advance()
 
     def _read_pending_input(self) -> bool:
@@ -352,8 +322,9 @@
             self.processing = False
         if not self.parser.has_partial_message():
             return False
-        self._pause_reading()
-        self.owner.input_turns.add(self)
+        self.reading_paused = True
+        self.transport.pauseProducing()
+        self._schedule_iteration()
         return True
 
     def _begin_close(self) -> None:
@@ -374,7 +345,6 @@
 
     def body_chunk(self, request_id: int, data: bytes) -> None:
         """Writes the complete value: RESP2 nodes' replies are not streamed."""
-        self.pipeline.value_received(len(data))
         self._finish(request_id, encode_bulk_string(data))
 
     def aborted(self, request_id: int) -> None:
--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -72,10 +72,6 @@
             self._position = 0
         self._buffer += data
 
-    def buffered_bytes(self) -> int:
-        """Returns the size of the buffer."""
-        return len(self._buffer)
-
     def has_unparsed_bytes(self) -> bool:
         """Whether the buffer holds bytes beyond the last complete message."""
         return len(self._buffer) > self._position
--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Mapping, Sequence
 
 from ochrecourse.common.time_units import SECOND
@@ -41,7 +41,6 @@
 from ochrecourse.scheduler.state import Flow, Node, PendingRequest, QueueHead
 from ochrecourse.scheduler.timers import NEVER, TimerQueue
 
-MAX_VOLUMES = 4_096  # whose state is kept although it is that of a new volume; a gateway serves far fewer
 IDLE_WAKE_INTERVAL = SECOND  # ns until `decide` must be called again when no timer is set
 
 
@@ -70,7 +69,7 @@
         self.fair_queue = FairQueue()
         self.endpoints = Endpoints(settings.polls_endpoints)
         self.nodes = self.endpoints.nodes
-        self.volumes: OrderedDict[int, Volume] = OrderedDict()
+        self.volumes: dict[int, Volume] = {}
         self.requests: dict[int, PendingRequest] = {}
         self._review_queue: deque[PendingRequest] = deque()  # requests that need a decision
 
@@ -109,49 +108,18 @@
         volume = self.volumes.get(request.volume)
         if volume is None:
             tenant = self.settings.tenant(request.tenant)
-            self._forget_volumes()
             volume = self.volumes[request.volume] = Volume(tenant, request.gateways, self._started_at)
         request_class = self.settings.request_classes[request.request_class]
         pace = self.latency.paces[request.request_class]
         pending = self.requests[request.id] = PendingRequest(request, request_class, pace, volume, now)
-        volume.open_requests += 1
         self.retries.request_received(now)
         if pending.is_next_for_key:
             self._review_queue.append(pending)
         else:
-            self.key_order.add(pending, request.place)
+            self.key_order.add(pending)
             self._advance_key(request.key)
         self._timers.add(pending.serve_by - self._answer_margin, timers.ReviewRequest(pending))
 
-    def _forget_volumes(self) -> None:
-        """Forgets volumes, the oldest first, whose state is that of a new one; two for each new volume."""
-        for _ in range(2):
-            if len(self.volumes) < MAX_VOLUMES:
-                return
-            volume_id, volume = next(iter(self.volumes.items()))
-            if volume.is_as_new(self._now):
-                del self.volumes[volume_id]
-            else:
-                self.volumes.move_to_end(volume_id)
-
-    def reserve_place(self, request_class: int, key: int) -> int:
-        """Reserves a place in the order of a key for a request that is received later; 0 without an order."""
-        if not key or not self.settings.request_classes[request_class].in_key_order:
-            return 0
-        return self.key_order.reserve(key)
-
-    def take_wanted_places(self) -> list[int]:
-        """Returns the reserved places that block received requests, each once."""
-        wanted, self.key_order.wanted = self.key_order.wanted, []
-        return wanted
-
-    def release_place(self, place: int, now: int) -> None:
-        """Releases a place whose request will not come."""
-        self._now = now
-        key = self.key_order.release(place)
-        if key:
-            self._advance_key(key)
-
     def attempt_written(self, request_id: int, now: int) -> None:
         """Records that the outstanding attempt was handed to a connection: it may run from now on."""
         self._now = now
@@ -313,7 +281,8 @@
         flow = node.flows.get(pending.request.volume)
         if flow is None:
             flow = concurrency.add_flow(node, pending)
-            self.fair_queue.list_unlisted(node)
+            for volume_id in node.flows:
+                self.fair_queue.list_flow(node, volume_id)
         concurrency.score_run(flow, pending.request.key, self._now)
         self.fair_queue.enqueue(pending, node, flow)
 
@@ -326,8 +295,7 @@
     def _close(self, pending: PendingRequest) -> None:
         """Releases the state of a finished request, once no attempt of it is outstanding."""
         if not pending.attempt_outstanding:
-            if self.requests.pop(pending.request.id, None):
-                pending.volume.open_requests -= 1
+            self.requests.pop(pending.request.id, None)
             pending.release_drawn()
         if pending.in_key_order:
             self._advance_key(pending.request.key)
@@ -362,7 +330,6 @@
                     flow.queues[head.rank].popleft()
                     return self._send(node, flow, head, pending)
                 self._list_later(node, head.volume_id, wait)
-                node.limited_volumes[head.volume_id] = None
             fair_queue.unlist(node, flow)
             concurrency.forget_idle_flow(node, head.volume_id)
         return None
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -19,7 +19,6 @@
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.resp.commands import RequestClasses
 from ochrecourse.resp.node_connection import dialler
-from ochrecourse.resp.pipeline import memory_limit
 from ochrecourse.resp.server import RespServerFactory
 from ochrecourse.service.discovery import (
     DiscoveredEndpoints,
@@ -109,8 +108,6 @@
             shares.clients,
             start.max_open_files // EVICTION_DIVISOR,
         )
-        self.server.totals.memory_limit = memory_limit(start.memory_mb)
-        self.gateway.expects_lag = False  # the server answers in words when it is too late
         self.gateway.observers = [self.server]
         zones = [zone for zone in start.values.get("Zones", "").split(",") if zone]
         self.endpoints = DiscoveredEndpoints(zones, environment.unix_ns - now_ns(network))
@@ -183,14 +180,6 @@
 
     # --- graceful shutdown ---
 
-    def closed_connections(self) -> int:
-        """Returns how many connections to clients, nodes and service discovery have ended, about."""
-        return (
-            self.server.closed_connections
-            + self.gateway.nodes.closed_connections
-            + self.watch.last_attempt_number
-        )
-
     def shut_down(self) -> None:
         """Starts a graceful shutdown; `on_stopped` is called at its end."""
         if self.shutting_down:
--- a/ochrecourse/service/main.py
+++ b/ochrecourse/service/main.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
+import sys
 import time
 from typing import Any, cast
 
@@ -24,18 +24,14 @@
 )
 from ochrecourse.common.predecessor import PredecessorWait, is_port_in_use
 
-STANDARD_ERROR = 2  # file descriptor
 EXIT_OK = 0
 EXIT_CANNOT_START = 2  # the start file is missing or invalid, or the port can't be opened
 
 
 def log(text: str) -> None:
-    """Writes a line to standard error, prefixed with the Unix time in seconds; drops it if nobody reads.
-
-    The descriptor is written directly: what a buffer can't write would fail again at the end of the process.
-    """
-    with contextlib.suppress(OSError):
-        os.write(STANDARD_ERROR, f"{time.time():.3f} {text}\n".encode())
+    """Writes a line to standard error, prefixed with the Unix time in seconds."""
+    sys.stderr.write(f"{time.time():.3f} {text}\n")
+    sys.stderr.flush()
 
 
 def run(signals: SignalHandler) -> int:
@@ -70,7 +66,7 @@
         return EXIT_CANNOT_START
     signals.dispatch_to(reactor.callFromThread, service.shut_down, service.reload)
     request_log = service.gateway.request_log
-    CycleCollector(reactor, lambda: not request_log.open, service.closed_connections)
+    CycleCollector(reactor, lambda: not request_log.open, lambda: service.server.closed_connections)
     log(
         f"{start.name} serves at {host}:{port}; "
         f"{start.max_open_files} descriptors of {file_limit}, {start.memory_mb} MB"
--- a/ochrecourse/standins/resp_node.py
+++ b/ochrecourse/standins/resp_node.py
@@ -12,7 +12,6 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
-CONNECTION_COMMANDS = (b"SELECT", b"CLIENT")  # answered in order with `+OK`; they are no requests
 VALUE = b"\x00value\r\n\xff"  # contains bytes that break parsers which split at line ends
 
 
@@ -31,8 +30,6 @@
         self.node = node
         self.buffer = b""
         self.commands: list[list[bytes]] = []
-        self.answered = True  # whether the last request had a reply
-        self.waiting_commands = 0  # connection commands behind a request; replies are sent in order
 
     def connectionMade(self) -> None:
         """Registers the connection with its node."""
@@ -47,28 +44,12 @@
         """Records each complete command and sends the reply, if there is one."""
         self.buffer += data
         while (arguments := self._command()) is not None:
-            if arguments[0] in CONNECTION_COMMANDS:
-                self.waiting_commands += 1
-                self._answer_connection_commands()
-                continue
             self.node.commands.append(arguments)
             self.commands.append(arguments)
             reply = self.node.reply(arguments)
-            self.answered = reply is not None
             if reply is not None:
                 self.transport.write(reply)
 
-    def answer(self, reply: bytes) -> None:
-        """Sends the reply to the last request, to which the node's `reply` returned None."""
-        self.answered = True
-        self.transport.write(reply)
-        self._answer_connection_commands()
-
-    def _answer_connection_commands(self) -> None:
-        if self.answered:
-            self.transport.write(b"+OK\r\n" * self.waiting_commands)
-            self.waiting_commands = 0
-
     def _command(self) -> list[bytes] | None:
         """Removes and returns the first complete command, None if there is none."""
         array_header, separator, remaining = self.buffer.partition(b"\r\n")
--- a/ochrecourse/webdav/request.py
+++ b/ochrecourse/webdav/request.py
@@ -18,7 +18,7 @@
 from zope.interface import implementer
 
 from ochrecourse.common import requests
-from ochrecourse.common.runtime import Timer, call_at, now_ns, stop
+from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.webdav import bodies
 from ochrecourse.webdav.deduplication import Disposition, RequestIdentity
@@ -231,7 +231,8 @@
         """Waits for the same GET that is under way, for at most WAIT_FRACTION of this one's timeout."""
         self.server.waiting[self.number] = self
         latest = self.received_at + round(self._parameters(parsed, size).timeout * WAIT_FRACTION * SECOND)
-        self.wait_timer = call_at(self.server.network, latest, self._wait_timed_out)
+        remaining = max(0, latest - now_ns(self.server.network))
+        self.wait_timer = self.server.network.callLater(remaining / SECOND, self._wait_timed_out)
 
     def _wait_timed_out(self) -> None:
         self.wait_timer = None
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -4,7 +4,6 @@
 import errno
 import select
 import socket
-import struct
 from contextlib import suppress
 
 import pytest
@@ -16,13 +15,11 @@
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.common.event_loop import MIN_WAIT, POLLS_UNTIL_READ, PollHistory
 from ochrecourse.lab.virtual import VirtualNetwork
-from ochrecourse.nodes.dispatcher import Dispatcher
 from ochrecourse.service.gateway_service import GatewayService, ServiceEnvironment, share_descriptors
 from ochrecourse.service.start_settings import parse_start_settings
 from ochrecourse.resp import codec
 from ochrecourse.resp import server
-from ochrecourse.resp import input_turns, pipeline
-from ochrecourse.resp.client_connection import RespClientConnection
+from ochrecourse.resp import client_connection, pipeline
 from ochrecourse.resp.lingering_close import DRAIN_SECONDS, LINGER_SECONDS
 from ochrecourse.standins.resp_node import ListAgent, RespNode, success_reply
 from ochrecourse.common.monotonic_reactor import unread_since
@@ -243,201 +240,6 @@
     assert shop.service.gateway.request_log.received <= 32 and not shop.server.totals.unanswered_commands
 
 
-# --- the memory of all connections ---
-
-
-def test_the_memory_of_connections_follows_from_that_of_the_process():
-    assert pipeline.memory_limit(0) == pipeline.memory_limit(1000) == pipeline.MAX_MEMORY_LIMIT
-    assert pipeline.memory_limit(32) == pipeline.MIN_MEMORY_LIMIT < pipeline.memory_limit(64)
-    for memory_mb in (64, 96, 192):
-        assert pipeline.PROCESS_BYTES + 2 * pipeline.memory_limit(memory_mb) <= memory_mb * 1_000_000
-    assert Shop().service.server.totals.memory_limit == pipeline.MAX_MEMORY_LIMIT
-
-
-@pytest.mark.parametrize("count", [1, 4, 12])
-def test_running_requests_of_all_connections_are_bounded_in_memory_and_cost_nobody_the_next_one(
-    make_shop, count
-):
-    """Guards against a process that is killed for its memory: bodies of running requests were bounded by nothing."""
-    shop = make_shop(lambda arguments: None)
-    totals = shop.server.totals
-    totals.memory_limit = 1_000_000
-    clients = [shop.client() for _ in range(count)]
-    body = b"x" * 30_000
-    for number, (client, _) in enumerate(clients):
-        shop.send(client, b"".join(write(100 * number + i, body=body, d=60_000) for i in range(1, 61)) + PING)
-        shop.loop.settle()
-        assert totals.memory_bytes <= totals.memory_limit + len(body) * count
-    most = max(len(each.in_flight) for _, each in clients)
-    assert 0 < most <= 1_000_000 / len(body) / 2 and all(each.in_flight for _, each in clients)
-    shop.node.reply = success_reply
-    other, connection = shop.client()
-    shop.send(other, read(9_999, d=60_000))
-    shop.loop.settle()
-    assert connection.in_flight and not read_available(other)
-    for peer in list(shop.node.peers):
-        peer.transport.abortConnection()
-    for _ in range(MAX_ITERATIONS):
-        if not shop.open:
-            break
-        shop.loop.now += 0.1
-        shop.loop.settle()
-    for client, _ in clients:
-        replies = codec.ReplyParser()
-        replies.feed(read_available(client))
-        got = []
-        while (one := replies.next()) is not None:
-            got.append(one[0])
-        assert len(got) == 61 and got[-1] == codec.SimpleString(b"PONG")
-    assert totals.memory_bytes == 0
-
-
-def test_the_expected_size_of_replies_counts_before_they_come(make_shop):
-    """Guards against reads whose values together use more than the process may."""
-    shop = make_shop(lambda arguments: b"*1\r\n" + codec.encode_bulk_string(b"x" * 60_000))
-    client, connection = shop.client()
-    for number in range(1, 200):
-        shop.send(client, read(number, d=60_000))
-        shop.loop.run_until(lambda: not connection.pipeline.slots)
-        read_available(client)
-        shop.loop.now += 0.02
-    assert shop.server.totals.reply_size > 50_000
-    shop.server.totals.memory_limit = 600_000
-    shop.node.reply = lambda arguments: None
-    shop.send(client, b"".join(read(number, d=60_000) for number in range(1_000, 1_040)))
-    shop.loop.settle()
-    assert 2 <= len(connection.in_flight) <= 6 and len(connection.pipeline.slots) == 40
-
-
-# --- what clients send at once is handled in turns ---
-
-
-def test_one_iteration_handles_a_bounded_number_of_commands_however_many_clients_send(make_shop, monkeypatch):
-    """Guards against a flood of many clients that blocks the event loop for longer than others may wait."""
-    shop = make_shop(lambda arguments: None, sockets=512)
-    handled = []
-    handle = RespClientConnection._handle_command
-
-    def counted(connection, arguments):
-        handled.append(connection)
-        handle(connection, arguments)
-
-    monkeypatch.setattr(RespClientConnection, "_handle_command", counted)
-    floods = [shop.client() for _ in range(60)]
-    other, _ = shop.client()
-    for number, (client, _) in enumerate(floods):
-        client.sendall(b"".join(read(1000 * number + i, d=60_000) for i in range(1, 201)))
-    most = input_turns.COMMANDS_PER_ITERATION + input_turns.COMMANDS_PER_READ * len(floods)
-    shop.loop.iterate()  # reads all of them
-    other.sendall(PING)
-    for iteration in range(200):
-        before, handled[:] = len(handled), []
-        assert before <= most, f"{before} commands in one iteration"
-        shop.loop.iterate()
-        if iteration == 1:
-            assert read_available(other) == b"+PONG\r\n", "another client waits for all that was sent before"
-        if iteration == 20:
-            assert min(len(each.pipeline.slots) for _, each in floods) > 16, "some have no turn"
-    shop.loop.settle()
-    assert all(len(each.pipeline.slots) == 200 for _, each in floods)
-
-
-def test_a_mistake_in_one_connection_does_not_take_the_turns_of_the_others():
-    class Waiting:
-        def __init__(self, mistake):
-            self.mistake, self.limits = mistake, []
-
-        def process_commands(self, limit):
-            self.limits.append(limit)
-            if self.mistake:
-                raise RuntimeError("made on purpose")
-            return len(self.limits) < 3
-
-    network = VirtualNetwork(1)
-    turns = input_turns.InputTurns(network)
-    first, second = Waiting(True), Waiting(False)
-    turns.add(first)
-    turns.add(second)
-    with pytest.raises(RuntimeError):
-        network.advance(0)
-    network.advance(0)
-    assert first.limits == [input_turns.COMMANDS_PER_TURN] and len(second.limits) == 3
-
-
-def test_a_connection_that_ended_has_no_turn(make_shop):
-    shop = make_shop(lambda arguments: None)
-    client, connection = shop.client()
-    client.sendall(PING * 200)
-    shop.loop.run_until(lambda: connection.reading_paused)
-    connection.transport.abortConnection()
-    shop.loop.settle()
-    assert not connection.connected and not shop.server.input_turns._waiting and not connection.pipeline.slots
-
-
-# --- no attempt begins for a client whose close is not read yet ---
-
-
-@pytest.mark.parametrize("how", ["close", "half", "reset"])
-def test_no_attempt_begins_for_a_client_whose_close_is_behind_much_input(make_shop, how):
-    """Guards against work for nobody: after 256 commands a connection is not read, and more were started meanwhile."""
-    shop = make_shop(lambda arguments: None)
-    client, connection = shop.client()
-    client.sendall(b"".join(read(i, d=60_000) for i in range(1, 401)))
-    if how == "reset":
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    close_client(client, how)
-    wait_for_close(connection)
-    shop.loop.run_until(lambda: not connection.connected)
-    shop.loop.settle()
-    assert not shop.node.commands and not shop.open and not shop.service.gateway.in_flight
-
-
-@pytest.mark.parametrize("how", ["close", "half"])
-def test_no_attempt_is_written_for_a_client_that_closed_while_its_connection_is_not_read(make_shop, how):
-    """The same for an attempt that another answer lets begin, and for one that is sent once more."""
-    shop = make_shop(lambda arguments: None)
-    client, connection = shop.client()
-    shop.send(client, b"".join(read(i, d=60_000) for i in range(1, 41)))
-    shop.loop.settle()
-    sent = len(shop.node.commands)
-    assert 0 < sent < shop.open == 32
-    connection.transport.pauseProducing()
-    close_client(client, how)
-    wait_for_close(connection)
-    for peer in list(shop.node.peers)[:2]:
-        peer.transport.write(success_reply(peer.commands[-1]))
-    for peer in list(shop.node.peers)[2:]:
-        peer.transport.abortConnection()  # reads may be sent once more
-    for _ in range(40):
-        shop.loop.now += 0.02
-        shop.loop.settle()
-    assert len(shop.node.commands) == sent and connection.connected
-    connection.transport.resumeProducing()
-    shop.loop.run_until(lambda: not connection.connected)
-    assert not shop.open and not shop.service.gateway.in_flight and not shop.server.totals.open_request_ids
-
-
-@pytest.mark.parametrize("how", ["close", "half"])
-def test_an_attempt_whose_connection_opens_after_its_client_closed_is_not_written(
-    make_shop, monkeypatch, how
-):
-    shop = make_shop(lambda arguments: None)
-    opened = []
-    connection_opened = Dispatcher.connection_opened
-    monkeypatch.setattr(Dispatcher, "connection_opened", lambda *arguments: opened.append(arguments))
-    client, connection = shop.client()
-    shop.send(client, read(1, d=60_000))
-    shop.loop.run_until(lambda: opened)
-    connection.transport.pauseProducing()
-    close_client(client, how)
-    wait_for_close(connection)
-    monkeypatch.undo()
-    for arguments in opened:
-        connection_opened(*arguments)
-    shop.loop.settle()
-    assert not shop.node.commands and not shop.open and not shop.service.gateway.in_flight
-
-
 @pytest.mark.parametrize("how", ["close", "half"])
 def test_the_end_of_a_slow_reader_whose_replies_pile_up_is_seen(make_shop, how):
     long_value = bytes(range(256)) * 3600
@@ -589,7 +391,7 @@
         shop.loop.iterate()
         iterations += 1
         got += read_available(flooding)
-    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // input_turns.COMMANDS_PER_ITERATION
+    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // client_connection.COMMANDS_PER_ITERATION
 
 
 # --- attempts after a client's close ---
--- a/tests/test_client_machine.py
+++ b/tests/test_client_machine.py
@@ -304,18 +304,6 @@
             )
             assert all(each.pipeline.running <= pipeline.MAX_RUNNING_REQUESTS for each in server.connections)
 
-    @invariant()
-    def the_memory_of_connections_is_counted(self):
-        if hasattr(self, "peers"):
-            server = self.shop.service.server
-            pipelines = [each.pipeline for each in server.connections]
-            assert server.totals.memory_bytes == sum(each.memory_bytes for each in pipelines)
-            for each in pipelines:
-                assert each.memory_bytes == each.input_bytes + sum(slot.memory_bytes for slot in each.slots)
-            assert all(
-                each.pipeline.input_bytes == each.parser.buffered_bytes() for each in server.connections
-            )
-
     def teardown(self):
         if not hasattr(self, "peers"):
             return
--- a/tests/test_command_times.py
+++ b/tests/test_command_times.py
@@ -103,8 +103,8 @@
 def answer_hanging(shop):
     """Answers all commands that the node has left unanswered."""
     for peer in list(shop.node.peers):
-        if peer.commands and not peer.answered:
-            peer.answer(success_reply(peer.commands[-1]))
+        if peer.commands:
+            peer.transport.write(success_reply(peer.commands[-1]))
 
 
 LONG_DEADLINES = {"Classes.0.Deadline": "10000", "Classes.0.Aim": "9000"}
@@ -202,45 +202,3 @@
         assert connection() is None
     finally:
         gc.enable()
-
-
-@pytest.mark.parametrize("mistake", [b"nonsense\r\n", MISTAKES["unknown_command"]])
-def test_a_connection_that_ended_with_an_error_leaves_no_reference_cycle(make_shop, mistake):
-    """Guards against buffers that stay in memory: the error's traceback referred to all that was being parsed."""
-    shop = make_shop()
-    client, connection = shop.client()
-    gc.collect()
-    gc.disable()
-    try:
-        client.sendall(mistake)
-        shop.loop.settle()
-        connection = weakref.ref(connection)
-        client.close()
-        shop.loop.run_until(lambda: not shop.server.connections)
-        shop.loop.settle()
-        assert connection() is None
-    finally:
-        gc.enable()
-
-
-@pytest.mark.parametrize("how", ["loseConnection", "abortConnection"])
-def test_a_connection_to_a_node_that_has_ended_leaves_no_reference_cycle(make_shop, how):
-    """Guards against memory that grows while nodes close idle connections under steady traffic."""
-    shop = make_shop()
-    client, _ = shop.client()
-    shop.serve(client, 1)
-    closed = shop.service.closed_connections()
-    connections = [weakref.ref(each) for each in shop.service.gateway.nodes.connections.values()]
-    transports = [weakref.ref(each.transport) for each in shop.service.gateway.nodes.connections.values()]
-    gc.collect()
-    gc.disable()
-    try:
-        for peer in list(shop.node.peers):
-            getattr(peer.transport, how)()
-        shop.loop.run_until(lambda: not shop.service.gateway.nodes.connections)
-        shop.loop.now += 1  # past the reuse delay
-        shop.loop.settle()
-        assert connections and [each() for each in connections + transports] == [None] * 2 * len(connections)
-        assert shop.service.closed_connections() == closed + len(connections)
-    finally:
-        gc.enable()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -317,40 +317,6 @@
     assert len(client.messages_of(m.RequestFailed)) == 1
 
 
-class LateClock:
-    """A clock whose timers fire `lag` s late, as on a machine that is held up."""
-
-    def __init__(self, network, lag):
-        self.network, self.lag = network, lag
-
-    def seconds(self):
-        return self.network.seconds()
-
-    def callLater(self, delay, *call):
-        return self.network.callLater(delay + self.lag if delay > 0.005 else delay, *call)
-
-
-@pytest.mark.parametrize("lag", [0.0, 0.02, 0.057, 0.12])
-def test_requests_at_a_silent_node_get_their_final_response_in_time_on_a_loop_that_lags(
-    make_gateway_harness, lag
-):
-    """Guards against a request that is never answered: its last attempt's time-out fired after the client's time."""
-    harness = make_gateway_harness(silent)
-    client = harness.client()
-    harness.run(0.1)
-    clock = LateClock(harness.network, lag)
-    harness.gateway.use_clock(clock)
-    harness.gateway.nodes.clock = clock
-    for number in range(1, 8):
-        harness.submit(client, number, request_class="bind", key=number, timeout_ms=600)
-        harness.run(0.6)
-    answered = [
-        each.id for each in client.messages_of(m.RequestFailed) + client.messages_of(m.RequestRejected)
-    ]
-    assert set(range(3, 8)) <= set(answered)  # the lag is known once a timer was late
-    assert len(answered) == len(set(answered))
-
-
 def test_a_drain_answers_requests_in_flight_and_rejects_new_ones(make_gateway_harness):
     harness = make_gateway_harness(silent)
     client = harness.client()
--- a/tests/test_journal_writer.py
+++ b/tests/test_journal_writer.py
@@ -361,21 +361,6 @@
     assert holds(steps)
 
 
-def test_a_promise_given_as_the_disk_works_again_survives_a_power_failure():
-    """Guards against a promise that is in no record: its limit counted as durable though writing it had failed."""
-    assert holds(["promise", "fail", "end", "append", "fail", "promise"])
-
-
-def test_a_failed_disk_does_not_stop_promises():
-    member = Member()
-    member.disk.error = FAILED
-    for beat in range(100):
-        promise = member.store.promise(WALL + 100 * beat)
-        if member.worker.operations:
-            member.worker.end()
-    assert promise >= Timestamp(WALL + 9_500, 0)
-
-
 def drawn(count):
     chance = random.Random(5)
     kinds = ["append", "append", "merge", "end", "end", "step", "rewrite", "promise"]
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,9 +1,7 @@
 """The policies of the scheduler: concurrency bounds, fair queueing, admission, latency estimates, quotas."""
 
-import pytest
 from conftest import START, VALUES
 
-from ochrecourse.scheduler import scheduler
 from ochrecourse.scheduler.concurrency import (
     LOADED_NODE_UNITS,
     MAX_REQUESTS_PER_NODE,
@@ -16,40 +14,6 @@
 from ochrecourse.interface import Outcome, Ending, Health, Attempt, ListKind, NodeEntry, Reply
 
 
-def test_volumes_whose_state_is_that_of_a_new_one_are_forgotten(harness, monkeypatch):
-    """Guards against memory that grows with every volume that a client ever names."""
-    monkeypatch.setattr(scheduler, "MAX_VOLUMES", 50)
-    waiting = harness.submit(volume=7, tenant=1, units=8.0, timeout=1_000 * SECOND)  # never answered
-    assert [attempt.request_id for attempt in harness.decide_all(START + SECOND)] in ([waiting], [])
-    now = START + 100 * SECOND
-    for number in range(2_000):
-        now += 100 * MS
-        harness.submit(now, volume=1_000 + number, tenant=number % 3)
-        for decision in harness.decide_all(now):
-            if isinstance(decision, Attempt):
-                harness.end_attempt(decision, now)
-        harness.decide_all(now)
-    assert len(harness.scheduler.volumes) <= 60
-    assert all(not each.open_requests for number, each in harness.scheduler.volumes.items() if number != 7)
-
-
-@pytest.mark.parametrize("tenant", [0, 1, 2])
-def test_a_volume_that_was_forgotten_has_no_more_than_it_would_have(harness, tenant):
-    """Guards against a limit that a forgotten volume gets anew."""
-    at = START + 20 * SECOND
-    harness.submit(at, volume=5, tenant=tenant, units=8.0)
-    for decision in harness.decide_all(at):
-        harness.end_attempt(decision, at)
-    harness.decide_all(at)
-    volume, full = harness.scheduler.volumes[5], None
-    for beat in range(400):
-        now = at + beat * 50 * MS
-        if full is None and volume.is_as_new(now):
-            full = now
-            assert volume.limit_tokens >= volume.limit_depth or not volume.limit_rate
-    assert full is not None and full > at
-
-
 def test_new_volume_resets_every_bound_to_the_even_split(harness):
     harness.submit(volume=1)
     harness.decide_all()
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -182,7 +182,6 @@
     def __init__(self, node):
         super().__init__(node)
         self.attempt = None
-        self.markers = 0  # connection commands behind the attempt, answered after it
         self.up = False
 
     def connectionMade(self):
@@ -199,18 +198,9 @@
         assert shut is None or now <= shut + WAY, "bytes on a connection that the gateway had closed"
         self.buffer += data
         while (asked := self._command()) is not None:
-            if asked[0] == b"SELECT":
-                self.markers += 1
-                self.answer_markers()
-            else:
-                self.node.command_received(self, asked)
+            self.node.command_received(self, asked)
         assert not self.buffer, "an incomplete request"
 
-    def answer_markers(self):
-        if self.is_idle():
-            self.transport.write(b"+OK\r\n" * self.markers)
-            self.markers = 0
-
     def is_idle(self):
         return self.up and (self.attempt is None or not self.attempt.open)
 
@@ -253,7 +243,6 @@
         if last:
             attempt.open = False
         attempt.peer.transport.write(data)
-        attempt.peer.answer_markers()
 
     def later(self, gap, *what):
         self.network.callLater(gap, *what)
@@ -276,10 +265,6 @@
         self.say(attempt, attempt.served())
         self.later(gap, attempt.peer.transport.write, attempt.served())
 
-    def twice_late(self, attempt, gap):
-        self.say(attempt, attempt.served())
-        self.later(0.02 + 8 * gap, attempt.peer.transport.write, attempt.served())
-
     def joined(self, attempt, gap):
         self.say(attempt, attempt.served() * 2)
 
@@ -329,7 +314,7 @@
 
 MODES = [
     "now", "late", "pieces", "twice", "joined", "broken", "busyish", "half_and_reset", "half_and_close", "endless", "hangs",
-    "resets", "closes", "answers_and_closes", "busy", "fails", "twice_late",
+    "resets", "closes", "answers_and_closes", "busy", "fails",
 ]  # fmt: skip
 GAPS = [0.0, 0.001, 0.004, 0.008]  # s; the longest delay of a duplicate reply
 
@@ -582,18 +567,6 @@
         self.send(client, kind, cell)
         self.network.advance(0.02)
 
-    @rule(
-        kind=st.sampled_from(list(KINDS)), cell=st.integers(0, 2), gap=st.sampled_from(GAPS),
-        answers=st.sampled_from(["hangs", "late"]),
-    )  # fmt: skip
-    def requests_follow_an_answer_whose_copy_comes_late(self, kind, cell, gap, answers):
-        self.world.next = deque([("twice_late", gap), (answers, 0.004)])
-        client = self.connects(0.9)
-        self.send(client, "read", cell)
-        self.network.advance(0.015)
-        self.send(client, kind, cell)
-        self.network.advance(0.1)
-
     @rule(
         kind=st.sampled_from(list(KINDS)), cell=st.integers(-1, 2), gap=st.sampled_from([0.004, 0.008]),
         after=st.sampled_from([0.1, 0.15, 0.3]),
@@ -835,20 +808,11 @@
     )
 
 
-def recognizes_no_duplicates(monkeypatch):
-    monkeypatch.setattr(node_connection, "REMEMBERED_REPLIES", 0)
-
-
-# Two safeguards keep a duplicate from the next request, the delay and the marker: one is tried without the other.
-
-
 def reuses_connections_without_delay(monkeypatch):
-    recognizes_no_duplicates(monkeypatch)
     monkeypatch.setattr(node_connection, "REUSE_DELAY_SECONDS", 0.0)
 
 
 def ends_the_reuse_delay_before_reading(monkeypatch):
-    recognizes_no_duplicates(monkeypatch)
     monkeypatch.setattr(RespNodeConnection, "_reuse_delay_over", RespNodeConnection._release)
 
 
@@ -897,7 +861,6 @@
 
 
 def takes_bytes_after_a_reply_for_the_next_reply(monkeypatch):
-    recognizes_no_duplicates(monkeypatch)
     original = RespNodeConnection.dataReceived
 
     def received(connection, data):
@@ -949,7 +912,7 @@
     takes_a_reply_that_begins_with_busy_for_busy, reuses_the_connection_of_a_cancelled_attempt,
     takes_bytes_after_a_reply_for_the_next_reply, sends_the_timeout_as_of_the_decision,
     writes_waiting_attempts_to_a_node_that_is_not_ready, writes_attempts_of_closed_clients,
-    accepts_a_connection_whose_dial_was_abandoned, recognizes_no_duplicates,
+    accepts_a_connection_whose_dial_was_abandoned,
 ]  # fmt: skip
 
 
--- a/tests/test_settings_of_others.py
+++ b/tests/test_settings_of_others.py
@@ -124,24 +124,12 @@
 
 
 class ScriptedPeer(RespPeer):
-    """A node's end of a connection: each command is an attempt, answered as the day's behaviours specify, or a
-    `SELECT`, answered in order."""
-
-    attempt, selects = None, 0
+    """A node's end of a connection: each command is an attempt, answered as the day's behaviours specify."""
 
     def dataReceived(self, data):
         self.buffer += data
         while (words := self._command()) is not None:
-            if words[0] == b"SELECT":
-                self.selects += 1
-            else:
-                self.attempt = self.node.simulation.attempt_received(self, words)
-        self.answer_selects()
-
-    def answer_selects(self):
-        if self.attempt is None or self.attempt.answered:
-            self.transport.write(b"+OK\r\n" * self.selects)
-            self.selects = 0
+            self.node.simulation.attempt_received(self, words)
 
     def closed(self):
         """Whether either end of the connection has been closed."""
@@ -309,13 +297,11 @@
             self.network.callLater(after / 1000, self._answer, attempt, response)
         elif kind != "hang":
             self._answer(attempt, response)
-        return attempt
 
     def _answer(self, attempt, response):
         if not attempt.peer.closed():
             attempt.answered = True
             attempt.peer.transport.write(response)
-            attempt.peer.answer_selects()
 
     # --- checks ---
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,12 +1,9 @@
 """Signals at every stage of a process's lifetime, each sent at a named point."""
 
-import contextlib
-import os
 import signal
-import socket
 
 import pytest
-from relay_process import TIMEOUT_S, RelayProcess, send_and_receive
+from relay_process import RelayProcess, send_and_receive
 from test_service import PING, read, value
 
 BEFORE_SERVING = [
@@ -110,27 +107,3 @@
             f"read again; the list is told at 127.0.0.1:{relay.other_port}" in line
             for line in relay.log_lines
         )
-
-
-def close_log():
-    """Gives a child a log that nobody reads."""
-    reading, writing = os.pipe()
-    os.close(reading)
-    os.dup2(writing, 2)
-
-
-def test_a_gateway_whose_log_nobody_reads_serves_and_obeys_a_termination(tmp_path):
-    """Guards against a process that passes over SIGTERM: its log line failed after the shutdown had been noted."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
-    with RelayProcess(tmp_path, listen=f"127.0.0.1:{port}", preexec=close_log) as relay:
-        client = None
-        while client is None:
-            assert relay.process.poll() is None, "ended for its log"
-            with contextlib.suppress(ConnectionRefusedError):
-                client = relay.connect(port)
-        with client:
-            assert send_and_receive(client, read(1), value(1)) == value(1)
-            relay.send(signal.SIGHUP)
-            relay.send(signal.SIGTERM)
-            assert relay.process.wait(timeout=TIMEOUT_S) == 0
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -68,43 +68,6 @@
         return self.peers[0].table[prefix][1]
 
 
-class MovingClock(VirtualNetwork):
-    """A network whose time passes between two readings of its clock, as on a machine that is held up."""
-
-    step = 0.0  # s for each reading
-
-    def seconds(self):
-        self.now += self.step
-        return self.now
-
-
-@pytest.mark.parametrize("step", [0.0, 0.000_1, 0.003, 0.02])
-@pytest.mark.parametrize("phase", [0.0, 0.03, 0.06, 0.09])
-def test_a_drain_ends_whatever_time_passes_between_two_readings_of_the_clock(step, phase):
-    """Guards against a drain that never ends: its timer was set with a negative delay, which the clock refuses."""
-    harness = SpeakerHarness(network=MovingClock(1))
-    harness.run(3 + phase)
-    assert harness.table == {A4}
-    harness.network.step = step
-    assert harness.speaker.begin_drain()
-    for _ in range(200):
-        harness.run(0.1)
-    assert harness.drained_times and not harness.table and harness.shutdown_times
-
-
-def test_a_drain_does_not_wait_for_the_next_reading_of_the_status():
-    """Guards against an event loop that spins from the time of a stage to the next reading of the status."""
-    harness = SpeakerHarness()
-    harness.run(3)
-    harness.speaker.drain.settings = DrainSettings(round(1.95 * SECOND), SECOND, 5 * SECOND)
-    harness.speaker.begin_drain()
-    began = harness.network.now
-    harness.network.run_until(began + 1.94, 2_000)
-    assert harness.speaker.drain.stage.name == "LAST_CHOICE"
-    harness.network.run_until(began + 1.96, 2_000)
-    assert harness.speaker.drain.stage.name == "WITHDRAWN" and harness.network.now == began + 1.96
-
-
 def test_a_fit_gateway_is_announced_after_the_recovery_delay_and_withdrawn_within_a_second():
     harness = SpeakerHarness()
     harness.run(0.9)
