--- a/review/common_2/bed.py
+++ b/review/common_2/bed.py
@@ -122,6 +122,9 @@
         if words[0] == b"PING":
             writer.write(b"+PONG\r\n")
             return
+        if not words[0].startswith(b"BLK."):  # PROTOCOL.md: `+OK` to CLIENT and SELECT, `-ERR` to others
+            writer.write(b"+OK\r\n" if words[0] in (b"CLIENT", b"SELECT") else b"-ERR\r\n")
+            return
         self.runs.append((time.monotonic(), words))
         self.bed.record.add(self.name, f"begins {words[0].decode()} {words[1].decode()} {words[2].decode()}")
         if self.answer is not None and await self.answer(words, writer):
--- a/review/common_2/node_process.py
+++ b/review/common_2/node_process.py
@@ -53,6 +53,10 @@
             return
 
     def _answer(self, connection: socket.socket, words: list[bytes]) -> None:
+        if not words[0].startswith(b"BLK."):  # PROTOCOL.md: requests aside, these have answers of their own
+            others = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
+            connection.sendall(others.get(words[0], b"-ERR\r\n"))
+            return
         self.note(f"begins {words[1].decode()} {words[2].decode()}")
         time.sleep(self.work)
         value = words[2]
