Connections that have ended are freed at once, those to nodes and watches too

Cause: a connector and its transport refer to each other. The interpreter's collections are off, and CycleCollector was told of clients' connections only, so nothing was collected while no client closed. All factories of outgoing connections now end the cycle (OutgoingConnectionFactory); nodes' connections and watches count for the collector too.

The same cause elsewhere: errors that a connection keeps referred, through tracebacks, to the input being parsed; watches and their dials referred to themselves. Both are dropped.

--- a/ochrecourse/bgp/speaker.py
+++ b/ochrecourse/bgp/speaker.py
@@ -15,9 +15,10 @@
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.bgp import codec
 from ochrecourse.bgp.codec import Attributes
 from ochrecourse.bgp.fitness import AnnouncementState, Drain, DrainStage, Fitness, GatewayStatus
@@ -90,11 +91,9 @@
         """The transport is closing (Twisted callback); `connectionLost` handles that."""
 
 
-class PeerConnections(ClientFactory):
+class PeerConnections(OutgoingConnectionFactory):
     """A peer's state machine and its TCP connections."""
 
-    noisy = False
-
     def __init__(self, speaker: Speaker, settings: PeerSettings) -> None:
         self.speaker = speaker
         self.settings = settings
--- a/ochrecourse/cli/gateway_process.py
+++ b/ochrecourse/cli/gateway_process.py
@@ -166,7 +166,11 @@
         CycleCollector(
             self.reactor,
             lambda: not daemon.gateway.request_log.open,
-            lambda: daemon.client_factory.connections_closed + (webdav.closed if webdav is not None else 0),
+            lambda: (
+                daemon.client_factory.connections_closed
+                + daemon.gateway.nodes.closed_connections
+                + (webdav.closed if webdav is not None else 0)
+            ),
         )
         self.reactor.run(installSignalHandlers=False)
         if not self.failure:
--- a/ochrecourse/cli/handover_client.py
+++ b/ochrecourse/cli/handover_client.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from twisted.internet.interfaces import IFileDescriptorReceiver
-from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.cli.handover import HandoverRequest
 
 CONNECT_TIMEOUT_S = 5
@@ -81,10 +81,9 @@
         self.sendLine(json.dumps({"do": request.value}).encode())  # type: ignore[no-untyped-call]
 
 
-class HandoverClientFactory(ClientFactory):
+class HandoverClientFactory(OutgoingConnectionFactory):
     """Creates the connection of a handover."""
 
-    noisy = False
     protocol = HandoverConnection
 
     def __init__(self, on_sockets: SocketsReceived, on_failure: Callable[[str], None]) -> None:
--- a/ochrecourse/common/monotonic_reactor.py
+++ b/ochrecourse/common/monotonic_reactor.py
@@ -155,7 +155,8 @@
     def __init__(self, reactor: Any, idle: Callable[[], bool], closed: Callable[[], int]) -> None:
         """Disables automatic collection and starts the periodic checks.
 
-        `idle`: whether no request is open; `closed`: connections closed so far (of clients: opened).
+        `idle`: whether no request is open; `closed`: connections of all kinds closed so far
+        (of load tools: opened).
         """
         self.reactor = reactor
         self.idle = idle
--- a/ochrecourse/fleet/link.py
+++ b/ochrecourse/fleet/link.py
@@ -11,13 +11,15 @@
 from typing import Any, Protocol
 
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import ClientFactory, ServerFactory
+from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.fleet.entries import Entry
 from ochrecourse.fleet.exchange import Exchange
 from ochrecourse.fleet.messages import MAX_BODY_BYTES, MAX_HEADER_BYTES, SLOW, PeerProtocolError
+from ochrecourse.common.errors import without_traceback
 from ochrecourse.common.input_timer import InputTimer
 from ochrecourse.common.runtime import Clock, now_ns
 
@@ -92,7 +94,8 @@
     def fail(self, violation: PeerProtocolError) -> None:
         """The peer violated the protocol: sends an error notice and ends the link."""
         if not self.close_reason:
-            self.violation, self.close_reason = violation, str(violation)
+            self.violation = without_traceback(violation)
+            self.close_reason = str(violation)
             self._write(self.exchange.error_frame(violation))
             self._close()
 
@@ -203,11 +206,9 @@
         )
 
 
-class PeerDialer(ClientFactory):
+class PeerDialer(OutgoingConnectionFactory):
     """Opens one connection to a peer; `on_failure` is called if that fails."""
 
-    noisy = False
-
     def __init__(self, make_link: Callable[[], Link], on_failure: Callable[[], None]) -> None:
         self.make_link = make_link
         self.on_failure = on_failure
--- a/ochrecourse/membership/list_server_watcher.py
+++ b/ochrecourse/membership/list_server_watcher.py
@@ -5,8 +5,8 @@
 import random
 from typing import Any, ClassVar
 
-from twisted.internet.protocol import ClientFactory
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.common.runtime import Timer, stop
 from ochrecourse.membership.endpoint_list import BadEndpointListError
 from ochrecourse.membership.endpoint_list_store import EndpointListStore, WatcherContext
@@ -48,11 +48,9 @@
         self.watcher.connection_lost(self)
 
 
-class ListServerWatcher(EndpointListStore, ClientFactory):
+class ListServerWatcher(EndpointListStore, OutgoingConnectionFactory):
     """Watches the list server at `address`, host and port."""
 
-    noisy = False
-
     def __init__(self, context: WatcherContext, address: tuple[str, int]) -> None:
         super().__init__(context)
         self.address = address
--- a/ochrecourse/membership/registration.py
+++ b/ochrecourse/membership/registration.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.common.runtime import Network, Timer, now_ns, stop
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.membership import etcd
@@ -43,15 +43,13 @@
     prefix: bytes = b""
 
 
-class Registration(ClientFactory):
+class Registration(OutgoingConnectionFactory):
     """The registration of this gateway's entry.
 
     `entry_value` returns the value to put. `on_entries`, if set, is called every ENTRIES_INTERVAL_S with the
     values of all entries under the prefix, by key.
     """
 
-    noisy = False
-
     def __init__(
         self,
         network: Network,
--- a/ochrecourse/membership/registry_connection.py
+++ b/ochrecourse/membership/registry_connection.py
@@ -5,22 +5,20 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.common.runtime import Network
 from ochrecourse.membership.etcd import HEADERS, METHOD, EtcdRequest
 from ochrecourse.membership.server_selection import RESPONSE_TIMEOUT_S
 from ochrecourse.wire.http_client import HttpClientProtocol, HttpResponse
 
 
-class RegistryConnection(ClientFactory):
+class RegistryConnection(OutgoingConnectionFactory):
     """A connection that is being opened or is open; `http_client` is None until it is open.
 
     `on_open` is called once it is open, `on_lost` when it ends or can't be opened.
     """
 
-    noisy = False
-
     def __init__(
         self,
         on_open: Callable[[HttpClientProtocol], None],
--- a/ochrecourse/nodes/dial.py
+++ b/ochrecourse/nodes/dial.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.common.runtime import Network
 from ochrecourse.nodes.dial_manager import MAX_DIAL_S, AbandonDial
 from ochrecourse.nodes.dispatcher import Address, Dispatcher, OpenConnection
@@ -17,15 +17,13 @@
 MakeConnection = Callable[[Dispatcher, PooledConnection], NodeConnection]
 
 
-class NodeDial(ClientFactory):
+class NodeDial(OutgoingConnectionFactory):
     """The Twisted factory of one dial.
 
     `accept_abandoned`: whether a connection that opens after its dial was abandoned is still created and
     completes its own handshake. Otherwise it is refused, since no pool entry owns it.
     """
 
-    noisy = False
-
     def __init__(
         self,
         dispatcher: Dispatcher,
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -77,6 +77,7 @@
         self.connections: dict[int, NodeConnection] = {}  # by number in the pool
         self.in_flight: dict[int, OutgoingAttempt] = {}  # by number, including those waiting for a connection
         self.attempt_count = 0
+        self.closed_connections = 0  # since the start
         self.counts: Counter[str] = Counter()
         self._idle_timer: Timer | None = None
 
@@ -205,6 +206,7 @@
         """Ends the attempts that were in flight on a connection that has ended."""
         pooled = connection.pooled
         self.connections.pop(pooled.number, None)
+        self.closed_connections += 1
         if end is ConnectionEnd.VIOLATION:
             self.counts["nodes that broke the protocol"] += 1
         if not connection.handshake_complete or self.dials.is_dialling(pooled):
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
+from ochrecourse.common.errors import without_traceback
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.resp.codec import CommandParser, RespProtocolError, encode_bulk_string
@@ -226,7 +227,7 @@
 
     def _fail(self, error: RespProtocolError) -> bytes:
         """Records a protocol error, after which no request is accepted; returns the error line."""
-        self.protocol_error = error
+        self.protocol_error = without_traceback(error)
         self.owner.counts[error.code] += 1
         self._command_timer.stop()
         return error_reply(error)
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -133,6 +133,11 @@
     def _apply_update(self, update: EndpointListUpdate) -> None:
         self.gateway.endpoint_list_received(update.kind, update.entries, update.addresses)
 
+    def closed_connections(self) -> int:
+        """Returns how many connections to clients and nodes have ended, and how many watches were opened."""
+        nodes = self.gateway.nodes.closed_connections
+        return self.server.closed_connections + nodes + self.watch.last_attempt_number
+
     # --- reload ---
 
     def reload(self) -> None:
--- a/ochrecourse/service/main.py
+++ b/ochrecourse/service/main.py
@@ -66,7 +66,7 @@
         return EXIT_CANNOT_START
     signals.dispatch_to(reactor.callFromThread, service.shut_down, service.reload)
     request_log = service.gateway.request_log
-    CycleCollector(reactor, lambda: not request_log.open, lambda: service.server.closed_connections)
+    CycleCollector(reactor, lambda: not request_log.open, service.closed_connections)
     log(
         f"{start.name} serves at {host}:{port}; "
         f"{start.max_open_files} descriptors of {file_limit}, {start.memory_mb} MB"
--- a/ochrecourse/service/watch_connection.py
+++ b/ochrecourse/service/watch_connection.py
@@ -4,8 +4,8 @@
 
 from typing import Any, Protocol
 
-from twisted.internet.protocol import ClientFactory
 
+from ochrecourse.common.outgoing_connections import OutgoingConnectionFactory
 from ochrecourse.common.runtime import Network, Timer, stop
 from ochrecourse.service.discovery import DiscoveredEndpoints, LineDecoder, WatchedEndpoints
 from ochrecourse.wire.http_client import HttpClientProtocol
@@ -169,11 +169,9 @@
         stop(self._end_timer)
 
 
-class WatchDial(ClientFactory):
+class WatchDial(OutgoingConnectionFactory):
     """Attempt `attempt_number` until its connection is open."""
 
-    noisy = False
-
     def __init__(self, owner: WatchOwner, attempt_number: int, address: tuple[str, int]) -> None:
         self.owner = owner
         self.attempt_number = attempt_number
@@ -186,8 +184,14 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
         """Twisted: the dial has failed."""
+        self.connector = None
         self.owner.attempt_ended(self)
 
+    def clientConnectionLost(self, connector: Any, reason: Any) -> None:
+        """Twisted: the watch of this dial has ended; frees what belonged to it."""
+        self.connector = None
+        super().clientConnectionLost(connector, reason)
+
     def end(self) -> None:
         """Cancels the dial."""
         self.owner.attempt_ended(self)
--- a/ochrecourse/wire/framed_protocol.py
+++ b/ochrecourse/wire/framed_protocol.py
@@ -13,6 +13,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from ochrecourse.common.errors import without_traceback
 from ochrecourse.common.input_timer import InputTimer
 from ochrecourse.common.runtime import Clock
 from ochrecourse.wire import messages as m
@@ -84,7 +85,7 @@
     def _fail(self, violation: ProtocolViolationError, stream_id: int = -1) -> None:
         if self.failure is not None:
             return
-        self.failure = violation
+        self.failure = without_traceback(violation)
         if not self.is_open:
             return
         notice = m.ErrorNotice(code=violation.code, text=str(violation)[:MAX_ERROR_TEXT], id=stream_id)
--- a/ochrecourse/wire/http_client.py
+++ b/ochrecourse/wire/http_client.py
@@ -60,8 +60,9 @@
         on_connected: Callable[[HttpClientProtocol], None],
         on_closed: Callable[[HttpClientProtocol], None],
     ) -> None:
-        self.on_connected = on_connected
-        self.on_closed = on_closed
+        # Callbacks are dropped after their last call: a caller's may refer to this connection.
+        self.on_connected: Callable[[HttpClientProtocol], None] | None = on_connected
+        self.on_closed: Callable[[HttpClientProtocol], None] | None = on_closed
         self.on_response: Callable[[HttpResponse | None], None] | None = None
         self.on_body_data: Callable[[bytes], None] | None = None
         self.response: HttpResponse | None = None
@@ -79,7 +80,9 @@
     def connectionMade(self) -> None:
         """Calls `on_connected` when the connection is open (Twisted callback)."""
         self.transport.setTcpNoDelay(True)
-        self.on_connected(self)
+        on_connected, self.on_connected = self.on_connected, None
+        if on_connected is not None:
+            on_connected(self)
 
     def request(
         self,
@@ -190,4 +193,6 @@
         """Delivers an incomplete response, if any, and calls `on_closed` (Twisted callback)."""
         self.lost = True
         self._deliver(self.response)
-        self.on_closed(self)
+        on_closed, self.on_closed, self.on_body_data = self.on_closed, None, None
+        if on_closed is not None:
+            on_closed(self)
