No attempt begins for a client that has closed, or whose input is unread

Cause: after 256 commands a connection is not read for some iterations, and the waits that shall cover that count two or three. Where the system's buffers are full, the close is not even sent.

--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
+from ochrecourse.common.client_input import InputCheck
 from ochrecourse.common.event_loop_lag import NEGLIGIBLE_LAG, EventLoopLag
 from ochrecourse.common.request_records import RequestOutcome, RequestRecord
 from ochrecourse.common.requests import BadRequestError, Request, ResponseHandler
@@ -125,9 +126,12 @@
         self.scheduler.node_rates_received(rates, now_ns(self.clock))
         self._pull()
 
-    def submit(self, request: Request, handler: ResponseHandler) -> int:
+    def submit(
+        self, request: Request, handler: ResponseHandler, client_input: InputCheck | None = None
+    ) -> int:
         """Accepts a request and returns its id; the handler may be called before this returns.
 
+        `client_input`: tells, if the client's protocol can, what is known of a close that is not read yet.
         Raises BadRequestError.
         """
         request_class = self.settings_index.classes.get(request.request_class)
@@ -157,7 +161,7 @@
             deadline + self.travel // 2, request.trace
         )  # fmt: skip
         self.request_log.add(record)
-        self.in_flight[request_id] = InFlightRequest(request, handler, record)
+        self.in_flight[request_id] = InFlightRequest(request, handler, record, client_input)
         if self.object_cache is not None:
             write = self.settings_index.writes[request_class]
             cache_handler = self.object_cache.request_received(request_id, request, write, deadline, handler)
--- a/ochrecourse/gateway/request_executor.py
+++ b/ochrecourse/gateway/request_executor.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from ochrecourse import interface
+from ochrecourse.common.client_input import InputCheck
 from ochrecourse.common.object_cache import ObjectCache
 from ochrecourse.common.request_records import AttemptRecord, RequestOutcome, RequestRecord
 from ochrecourse.common.requests import Request, ResponseHandler
@@ -29,12 +30,27 @@
 class InFlightRequest:
     """The state of a request from its submission until it is finished."""
 
-    __slots__ = ("attempt", "handler", "record", "request", "response_began_at", "response_bytes_left")
+    __slots__ = (
+        "attempt",
+        "client_input",
+        "handler",
+        "record",
+        "request",
+        "response_began_at",
+        "response_bytes_left",
+    )
 
-    def __init__(self, request: Request, handler: ResponseHandler, record: RequestRecord) -> None:
+    def __init__(
+        self,
+        request: Request,
+        handler: ResponseHandler,
+        record: RequestRecord,
+        client_input: InputCheck | None = None,
+    ) -> None:
         self.request = request
         self.handler = handler
         self.record = record
+        self.client_input = client_input
         self.attempt: OutgoingAttempt | None = None
         self.response_bytes_left = 0
         self.response_began_at = 0  # ns, when the response of the current attempt began to stream; 0 before
@@ -120,6 +136,7 @@
         is_only_holder = request.shard >= 0 and self.ready_nodes_by_shard[request.shard] <= 1
         wait = record.received_at + index.latency_objectives[class_number] - now if is_only_holder else None
         attempt = OutgoingAttempt(request_id, decision.node, message, request.body, self)
+        attempt.client_input = in_flight.client_input
         limits = AttemptLimits(timeout, stall, wait, decision.write_before)
         in_flight.attempt = self.nodes.send(attempt, limits)
 
@@ -196,6 +213,8 @@
         in_flight = self.in_flight[request_id]
         ending = VERDICTS[event].ending
         now = now_ns(self.clock)
+        if event is AttemptEvent.CLIENT_CLOSED:
+            self.request_log.settle(request_id, RequestOutcome.CLIENT_CLOSED, now)
         number = attempt.message.number
         record, attempt_record = self.request_log.attempt_ended(request_id, number, ending, event.value, now)
         for observe in self.attempt_observers:
--- a/ochrecourse/nodes/dispatcher.py
+++ b/ochrecourse/nodes/dispatcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ochrecourse.common.client_input import ClientInput
 from ochrecourse.common.runtime import Clock, Timer, now_ns, stop
 from ochrecourse.common.time_units import MS, SECOND
 from ochrecourse.nodes.dial_manager import AbandonDial, DialManager, DialSettings
@@ -28,6 +29,9 @@
 from ochrecourse.nodes.pool import ConnectionStatus, Pool, PooledConnection, PoolLimits
 from ochrecourse.wire import messages as m
 
+# For an attempt whose client has unread input, from when it could be written. A close may be in that input,
+# and must be acted on within 0.1 s.
+MAX_INPUT_WAIT = 50 * MS
 IDLE_CHECK_DELAY_S = 0.001  # after the idle time-out of the next connection, so that it has passed for sure
 
 Address = tuple[str, int]  # host and port
@@ -292,10 +296,34 @@
             # When the event loop was blocked, the write deadline's timer may not have fired yet.
             self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
             return
+        if attempt.client_input is not None:
+            client_input = attempt.client_input()
+            if client_input is ClientInput.CLOSED:
+                self._end_in_next_iteration(attempt, AttemptEvent.CLIENT_CLOSED)
+                return
+            if client_input is ClientInput.UNREAD:
+                self._wait_for_input(attempt, pooled, now)
+                return
         attempt.assigned_at = now
         self.connections[pooled.number].send(attempt)
         attempt.listener.attempt_written(attempt)
 
+    def _wait_for_input(self, attempt: OutgoingAttempt, pooled: PooledConnection, now: int) -> None:
+        """Postpones a write to the event loop's next iteration, which reads the client's input before."""
+        attempt.input_wait_began_at = attempt.input_wait_began_at or now
+        if now - attempt.input_wait_began_at > MAX_INPUT_WAIT:
+            self._end_in_next_iteration(attempt, AttemptEvent.CANCELLED_BEFORE_WRITE)
+        else:
+            self.clock.callLater(0, self._write_after_input, attempt, pooled)
+
+    def _write_after_input(self, attempt: OutgoingAttempt, pooled: PooledConnection) -> None:
+        if attempt.ended:
+            return
+        if pooled.number in self.connections and pooled.status is ConnectionStatus.OPEN:
+            self._write(attempt, pooled)
+        else:
+            self._end(attempt, AttemptEvent.CLOSED_BEFORE_WRITE, None)
+
     # --- time-outs and ends ---
 
     def _start_timers(self, attempt: OutgoingAttempt, limits: AttemptLimits) -> None:
--- a/ochrecourse/nodes/outcome.py
+++ b/ochrecourse/nodes/outcome.py
@@ -48,6 +48,7 @@
     CANCELLED_NOT_EXECUTED = "the node confirmed a cancel: nothing ran"
     CANCELLED = "the node confirmed a cancel: it may have run"
     CANCELLED_BEFORE_WRITE = "the attempt was given up before it was written whole"
+    CLIENT_CLOSED = "the client has closed, before anything was written"
     CANCEL_UNCONFIRMED = "the attempt was given up without a word from the node"
 
 
@@ -81,6 +82,7 @@
     AttemptEvent.CANCELLED_NOT_EXECUTED: AttemptVerdict(Ending.UNREACHABLE, Executed.NO),
     AttemptEvent.CANCELLED: AttemptVerdict(Ending.WITHDRAWN, Executed.MAYBE),
     AttemptEvent.CANCELLED_BEFORE_WRITE: AttemptVerdict(Ending.MOOT, Executed.NO),
+    AttemptEvent.CLIENT_CLOSED: AttemptVerdict(Ending.MOOT, Executed.NO),
     AttemptEvent.CANCEL_UNCONFIRMED: AttemptVerdict(Ending.WITHDRAWN, Executed.MAYBE),
 }
 
--- a/ochrecourse/nodes/outgoing_attempt.py
+++ b/ochrecourse/nodes/outgoing_attempt.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ochrecourse.common.client_input import InputCheck
 from ochrecourse.common.runtime import Timer, stop
 from ochrecourse.nodes.outcome import AttemptEvent, WriteProgress
 from ochrecourse.nodes.pool import PooledConnection
@@ -111,6 +112,7 @@
     listener: AttemptListener
     number: int = 0  # unique within the dispatcher
     sent_at: int = 0  # ns
+    input_wait_began_at: int = 0  # ns, when it had to wait for its client's input to be read
     assigned_at: int = 0  # ns, when it was assigned an open connection; 0 before
     pooled: PooledConnection | None = None  # whose capacity it uses; None when that is released separately
     connection: NodeConnection | None = None
@@ -127,6 +129,7 @@
     response_timer: Timer | None = None
     connection_timer: Timer | None = None  # time-out of the wait for a connection
     write_timer: Timer | None = None
+    client_input: InputCheck | None = None  # what is known of a close of the client that is not read yet
 
     def write_progress(self) -> WriteProgress:
         """Returns how much of the attempt was written to the network."""
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 from zope.interface import implementer
 
+from ochrecourse.common.client_input import ClientInput, client_input
 from ochrecourse.common.errors import without_traceback
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
@@ -22,6 +23,7 @@
 from ochrecourse.resp.command_timer import CommandTimer
 from ochrecourse.resp.commands import parse_command
 from ochrecourse.resp.connection_owner import ConnectionOwner
+from ochrecourse.resp.input_gate import InputGate
 from ochrecourse.resp.lingering_close import LingeringClose
 from ochrecourse.resp.pipeline import CommandPipeline, ReplySlot
 from ochrecourse.resp.replies import (
@@ -60,6 +62,7 @@
         self.rejecting = False  # late in the shutdown: requests that have not started are rejected
         self.processing = False  # guards against re-entry while commands are parsed or started
         self.idle_since = 0.0  # clock time in s
+        self._input_gate = InputGate(self.clock)
         self._command_timer = CommandTimer(self.clock, self._advance)
         self._iteration_timer: Timer | None = None
 
@@ -173,7 +176,7 @@
         except RespProtocolError as error:
             self.pipeline.append(ReplySlot(reply=self._fail(error)))
             return
-        if self.rejecting or not self.pipeline.enqueue(slot, self.write_blocked):
+        if self.rejecting or not self.pipeline.enqueue(slot):
             self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
             return
         self.owner.connection_busy(self)
@@ -187,18 +190,34 @@
         return ReplySlot(client_request_id, queued_request=request)
 
     def _start_queued(self) -> None:
-        """Submits queued requests to the gateway, unless writing is blocked or too many are running."""
+        """Submits queued requests to the gateway, unless writing is blocked or too many are running.
+
+        None is submitted while the client has unread input: a close may stand behind it.
+        """
+        if not self.pipeline.can_start():
+            return
+        if not self._input_gate.is_open(self.client_input()):
+            if self._input_gate.waited_too_long():
+                self.pipeline.reject_queued(BUSY_REPLY)
+            return
         while not self.write_blocked and self.connected and self.pipeline.can_start():
             slot, request = self.pipeline.start_next()
             self._submit(slot, request)
 
+    def client_input(self) -> ClientInput:
+        """Returns how much of what the client sent has been read and handled."""
+        if not self.connected:
+            return ClientInput.CLOSED
+        state = client_input(self.transport)
+        return ClientInput.UNREAD if state is ClientInput.READ and self.reading_paused else state
+
     def _submit(self, slot: ReplySlot, request: Request) -> None:
         # The time in the queue behind others of its connection does not count against a request's timeout.
         request.read_at = now_ns(self.clock)
         request_id = self.gateway.next_request_id()
         self.in_flight[request_id] = slot  # before the call, which may deliver the reply before it returns
         try:
-            self.gateway.submit(request, self)
+            self.gateway.submit(request, self, self.client_input)
         except BadRequestError as error:
             del self.in_flight[request_id]
             if error.code == "late_body":
--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -1,9 +1,8 @@
 """The pipelined commands of one client connection, with their reply slots in order. Performs no I/O.
 
 Replies are written in the order of the commands, so each command has a reply slot in a queue. A bounded
-number of requests of one connection run at once; more are queued. Queued bytes and unanswered commands are
-limited per connection, and the memory of all connections by a budget. Over the limit on queued bytes or the
-budget, requests are rejected; exceeding the limit on unanswered commands is a protocol error.
+number of requests of one connection run at once; more are queued. The memory of all connections is limited by
+a budget, beyond which requests are rejected. Exceeding the limit on unanswered commands is a protocol error.
 """
 
 from __future__ import annotations
@@ -19,10 +18,7 @@
 MAX_UNANSWERED_COMMANDS = 2_048  # of one connection; well-behaved clients send hundreds at once
 # Above this total, no connection may have more than `MAX_RUNNING_REQUESTS`.
 MAX_UNANSWERED_COMMANDS_TOTAL = 65_536
-MAX_QUEUED_BYTES = 8_388_608  # of requests queued on one connection: 128 of the largest
-MAX_QUEUED_BYTES_TOTAL = 25_165_824  # of requests queued on all
-QUEUED_REQUEST_OVERHEAD_BYTES = 1_024  # memory of a queued request in addition to its value
-OPEN_REQUEST_OVERHEAD_BYTES = 2_048  # the same of any open request, in the memory of all connections
+REQUEST_OVERHEAD_BYTES = 3_072  # memory of an open request in addition to its value
 REPLY_SLOT_BYTES = 160  # memory of an unanswered command
 
 
@@ -43,11 +39,6 @@
         self.request_class = queued_request.request_class if queued_request is not None else ""
         self.memory_bytes = 0  # counted for the command, then for its reply
 
-    def queued_bytes(self) -> int:
-        """Returns the memory in bytes that its queued request uses."""
-        body = self.queued_request.body if self.queued_request is not None else None
-        return QUEUED_REQUEST_OVERHEAD_BYTES + (body.size if body is not None else 0)
-
 
 class PipelineTotals:
     """Shared by the pipelines of all connections: totals, and the ids of open requests."""
@@ -55,7 +46,6 @@
     def __init__(self, budget: MemoryBudget) -> None:
         self.budget = budget
         self.unanswered_commands = 0
-        self.queued_bytes = 0
         self.open_request_ids: dict[bytes, ReplySlot] = {}
 
     def release_request_id(self, client_request_id: bytes, slot: ReplySlot) -> None:
@@ -67,14 +57,13 @@
 class CommandPipeline:
     """One connection's unanswered commands, oldest first, and its queued requests."""
 
-    __slots__ = ("memory", "queued", "queued_bytes", "running", "slots", "totals")
+    __slots__ = ("memory", "queued", "running", "slots", "totals")
 
     def __init__(self, totals: PipelineTotals) -> None:
         self.totals = totals
         self.memory = MemoryAccount(totals.budget)
         self.slots: deque[ReplySlot] = deque()
         self.queued: deque[ReplySlot] = deque()  # of these, requests not yet submitted to the gateway
-        self.queued_bytes = 0
         self.running = 0  # started requests whose replies are not written
 
     def check_command_limits(self) -> None:
@@ -93,24 +82,16 @@
         """Adds a command whose reply is already known."""
         self._add_slot(slot, REPLY_SLOT_BYTES)
 
-    def enqueue(self, slot: ReplySlot, write_blocked: bool) -> bool:
+    def enqueue(self, slot: ReplySlot) -> bool:
         """Queues a request. Returns False if there is no memory for it."""
-        size = slot.queued_bytes()
-        totals = self.totals
-        memory_bytes = size + OPEN_REQUEST_OVERHEAD_BYTES
-        memory_bytes += totals.budget.expected_reply_size(slot.request_class)
+        body = slot.queued_request.body if slot.queued_request is not None else None
+        memory_bytes = REQUEST_OVERHEAD_BYTES + (body.size if body is not None else 0)
+        memory_bytes += self.totals.budget.expected_reply_size(slot.request_class)
         if not self.memory.has_room(memory_bytes, nothing_open=not self.slots):
             return False
-        if write_blocked or self.running + len(self.queued) >= MAX_RUNNING_REQUESTS:
-            if self.queued_bytes + size > MAX_QUEUED_BYTES:
-                return False
-            if totals.queued_bytes + size > MAX_QUEUED_BYTES_TOTAL:
-                return False
         self._add_slot(slot, memory_bytes)
         self.queued.append(slot)
-        self.queued_bytes += size
-        totals.queued_bytes += size
-        totals.open_request_ids[slot.client_request_id] = slot
+        self.totals.open_request_ids[slot.client_request_id] = slot
         return True
 
     def _add_slot(self, slot: ReplySlot, memory_bytes: int) -> None:
@@ -130,9 +111,6 @@
     def start_next(self) -> tuple[ReplySlot, Request]:
         """Removes the oldest queued request from the queue and returns it; requires `can_start`."""
         slot = self.queued.popleft()
-        size = slot.queued_bytes()
-        self.queued_bytes -= size
-        self.totals.queued_bytes -= size
         request, slot.queued_request = slot.queued_request, None
         assert request is not None  # every slot in the queue has one
         self.running += 1
@@ -174,7 +152,7 @@
         for slot in self.queued:
             self.complete(slot, reply)
             slot.client_request_id, slot.queued_request = b"", None  # so that it does not count as running
-        self._clear_queue()
+        self.queued.clear()
 
     def clear(self) -> None:
         """Removes all commands when the client has disconnected."""
@@ -183,9 +161,4 @@
             self._count_slot(slot, 0)
         self.totals.unanswered_commands -= len(self.slots)
         self.slots.clear()
-        self._clear_queue()
-
-    def _clear_queue(self) -> None:
         self.queued.clear()
-        self.totals.queued_bytes -= self.queued_bytes
-        self.queued_bytes = 0
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -29,6 +29,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
+from ochrecourse.common.client_input import ClientInput
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.gateway import gateway
 from ochrecourse.lab.virtual import VirtualHost, VirtualNetwork, VirtualTransport
@@ -38,6 +39,7 @@
 from ochrecourse.nodes.dispatcher import Dispatcher
 from ochrecourse.service.gateway_service import GatewayService, ServiceEnvironment
 from ochrecourse.service.start_settings import parse_start_settings
+from ochrecourse.resp.client_connection import RespClientConnection
 from ochrecourse.resp import codec, node_connection
 from ochrecourse.resp import commands
 from ochrecourse.resp import pipeline
@@ -894,6 +896,8 @@
         "cancel",
         lambda self, attempt: original(self, attempt) if attempt.stream_id >= 0 else None,
     )
+    # Before each attempt it is also checked whether the client has closed, which would hide the mistake.
+    monkeypatch.setattr(RespClientConnection, "client_input", lambda connection: ClientInput.READ)
 
 
 def accepts_a_connection_whose_dial_was_abandoned(monkeypatch):
