A flood of many volumes at one node is no longer work in the square of them

The even split is now one value (DefaultBound), and only those volumes are listed that may not be: those with requests outstanding and the first 32 that wait for their limit, which keep one timer each.

--- a/ochrecourse/scheduler/concurrency.py
+++ b/ochrecourse/scheduler/concurrency.py
@@ -42,10 +42,8 @@
 
 def add_flow(node: Node, pending: PendingRequest) -> Flow:
     """Adds a volume to a node and resets the bound of every volume there to the even split."""
-    flow = node.flows[pending.request.volume] = Flow(pending.volume, 0.0)
-    node.even_split = max(1.0, MAX_REQUESTS_PER_NODE / len(node.flows))
-    for each in node.flows.values():
-        each.bound = node.even_split
+    flow = node.flows[pending.request.volume] = Flow(pending.volume, node.default_bound)
+    node.default_bound.reset(max(1.0, MAX_REQUESTS_PER_NODE / len(node.flows)))
     return flow
 
 
@@ -69,7 +67,7 @@
     flow.previous_units_outstanding = before
     flow.units_outstanding = before + units
     if flow.outstanding == 0:
-        node.busy_flows += 1
+        node.busy_flows[flow] = request_volume
     flow.outstanding += 1
     node.outstanding += 1
     node.units_outstanding += units
@@ -93,16 +91,17 @@
     node.outstanding -= 1
     node.units_outstanding -= units
     if flow.outstanding == 0:
-        node.busy_flows -= 1
+        del node.busy_flows[flow]
     _halve_above_average(node, flow)
-    not_loaded = node.units_outstanding <= LOADED_NODE_UNITS or node.busy_flows <= 1
-    if flow.bound < node.even_split and not_loaded:
-        flow.bound = min(node.even_split, flow.bound + 1)
+    not_loaded = node.units_outstanding <= LOADED_NODE_UNITS or len(node.busy_flows) <= 1
+    even_split = node.default_bound.value
+    if flow.bound < even_split and not_loaded:
+        flow.bound = min(even_split, flow.bound + 1)
 
 
 def _halve_above_average(node: Node, flow: Flow) -> None:
-    loaded = node.busy_flows > 1 and node.units_outstanding > LOADED_NODE_UNITS
-    if loaded and flow.units_outstanding > node.units_outstanding / node.busy_flows:
+    loaded = len(node.busy_flows) > 1 and node.units_outstanding > LOADED_NODE_UNITS
+    if loaded and flow.units_outstanding > node.units_outstanding / len(node.busy_flows):
         flow.bound = max(1.0, flow.bound / 2)
 
 
--- a/ochrecourse/scheduler/fair_queue.py
+++ b/ochrecourse/scheduler/fair_queue.py
@@ -13,9 +13,12 @@
 from __future__ import annotations
 
 from heapq import heappop, heappush
+from itertools import islice
 
 from ochrecourse.scheduler.state import BEYOND_RANK, RESERVED_RANK, Flow, Node, PendingRequest, QueueHead
 
+MAX_LISTED_EARLY = 32  # volumes at a node that are listed before the timer of their limit
+
 
 class FairQueue:
     """The queues of all nodes. `touched`: ids of nodes, in order, to which a request may now be sendable."""
@@ -43,6 +46,17 @@
         if beyond and not listed[BEYOND_RANK]:
             self._list(node, flow, BEYOND_RANK, max(node.virtual_time, flow.finish_tag), volume_id)
 
+    def list_unlisted(self, node: Node) -> None:
+        """Lists the queues that are not listed and may be now, after all bounds were reset.
+
+        The work does not depend on the number of volumes: few have requests outstanding, and of those that
+        wait for a timer, because of their limits, the first few are listed early.
+        """
+        for volume_id in list(islice(node.limited_volumes, MAX_LISTED_EARLY)):
+            self.list_flow(node, volume_id)
+        for volume_id in node.busy_flows.values():
+            self.list_flow(node, volume_id)
+
     def _list(self, node: Node, flow: Flow, rank: int, tag: float, volume_id: int) -> None:
         self._count += 1
         heappush(node.queue_heads, QueueHead(tag, rank, self._count, volume_id))
--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -224,6 +224,7 @@
         elif isinstance(timer, timers.GiveUpAttempt):
             self._give_up(timer.pending, timer.attempt)
         elif isinstance(timer, timers.ListFlow):
+            timer.node.limited_volumes.pop(timer.volume_id, None)
             self.fair_queue.list_flow(timer.node, timer.volume_id)
         elif isinstance(timer, timers.AdvanceKey):
             self._advance_key(timer.key)
@@ -281,8 +282,7 @@
         flow = node.flows.get(pending.request.volume)
         if flow is None:
             flow = concurrency.add_flow(node, pending)
-            for volume_id in node.flows:
-                self.fair_queue.list_flow(node, volume_id)
+            self.fair_queue.list_unlisted(node)
         concurrency.score_run(flow, pending.request.key, self._now)
         self.fair_queue.enqueue(pending, node, flow)
 
@@ -329,7 +329,7 @@
                     fair_queue.unlist(node, flow)
                     flow.queues[head.rank].popleft()
                     return self._send(node, flow, head, pending)
-                self._list_later(node, head.volume_id, wait)
+                self._list_after_limit(node, head.volume_id, now + wait)
             fair_queue.unlist(node, flow)
             concurrency.forget_idle_flow(node, head.volume_id)
         return None
@@ -348,6 +348,12 @@
             queue.popleft()
         return None
 
+    def _list_after_limit(self, node: Node, volume_id: int, at: int) -> None:
+        """Sets the timer of a volume that waits for its limit, unless one is set that is not later."""
+        if node.limited_volumes.get(volume_id, NEVER) > at:
+            node.limited_volumes[volume_id] = at
+            self._timers.add(at, timers.ListFlow(node, volume_id))
+
     def _list_later(self, node: Node, volume_id: int, wait: int) -> None:
         self._timers.add(self._now + wait, timers.ListFlow(node, volume_id))
 
--- a/ochrecourse/scheduler/state.py
+++ b/ochrecourse/scheduler/state.py
@@ -105,11 +105,28 @@
         self.drawn_units = 0.0
 
 
+class DefaultBound:
+    """The bound of each volume at a node that was not changed since all of them were reset."""
+
+    __slots__ = ("resets", "value")
+
+    def __init__(self, value: float) -> None:
+        self.value = value  # requests
+        self.resets = 0  # counted, so that a reset needs no work for each volume
+
+    def reset(self, value: float) -> None:
+        """Resets the bounds of all volumes at the node."""
+        self.value = value
+        self.resets += 1
+
+
 class Flow:
     """One volume at one node: its bound, its outstanding requests and its queues."""
 
     __slots__ = (
-        "bound",
+        "_bound",
+        "_default_bound",
+        "_resets_seen",
         "finish_tag",
         "keys_waiting",
         "listed",
@@ -123,9 +140,11 @@
         "waiting",
     )
 
-    def __init__(self, volume: Volume, bound: float) -> None:
+    def __init__(self, volume: Volume, default_bound: DefaultBound) -> None:
         self.volume = volume
-        self.bound = bound  # requests that may be outstanding
+        self._default_bound = default_bound
+        self._resets_seen = -1  # resets of the default when `_bound` was set
+        self._bound = 0.0
         self.outstanding = 0  # requests
         self.waiting = 0  # requests
         self.units_outstanding = 0.0  # the paper's aggressiveness
@@ -137,6 +156,16 @@
         self.listed = [False, False]  # by rank: whether the queue is in the node's `queue_heads`
         self.keys_waiting: Counter[int] = Counter()
 
+    @property
+    def bound(self) -> float:
+        """The number of requests that may be outstanding."""
+        default = self._default_bound
+        return self._bound if self._resets_seen == default.resets else default.value
+
+    @bound.setter
+    def bound(self, value: float) -> None:
+        self._bound, self._resets_seen = value, self._default_bound.resets
+
 
 class QueueHead(NamedTuple):
     """Entry of a volume's queue in a node's heap of queues; entries are ordered by their fields."""
@@ -153,13 +182,14 @@
     __slots__ = (
         "busy_flows",
         "decayed_at",
-        "even_split",
+        "default_bound",
         "flows",
         "health",
         "id",
         "last_answer_at",
         "last_answer_quick",
         "last_attempt_timed_out",
+        "limited_volumes",
         "next_start_at",
         "outstanding",
         "priority_floor",
@@ -193,15 +223,16 @@
         self.flows: dict[int, Flow] = {}  # by volume
         self.outstanding = 0  # requests
         self.units_outstanding = 0.0
-        self.busy_flows = 0  # flows with requests outstanding
+        self.busy_flows: dict[Flow, int] = {}  # those with requests outstanding; their volumes
         self.recent_sends: deque[int] = deque()  # volumes of the last sends
         self.recent_counts: Counter[int] = Counter()  # the same, counted
-        self.even_split = even_split  # requests; the default bound of each flow
+        self.default_bound = DefaultBound(even_split)
         self.trimmed = False  # a recent volume has no waiting requests
         self.window = window  # requests that may be outstanding, adapted to the node's answers
         self.window_shrunk_at = 0
         # fair_queue.py
         self.queue_heads: list[QueueHead] = []  # a heap
+        self.limited_volumes: dict[int, int] = {}  # when the timers of volumes over their limit are due
         self.virtual_time = 0.0
         # latency.py
         self.slowdown = 1.0  # answer times relative to the usual ones
