--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -24,6 +24,7 @@
 from ochrecourse.resp.commands import parse_command
 from ochrecourse.resp.connection_owner import ConnectionOwner
 from ochrecourse.resp.input_gate import InputGate
+from ochrecourse.resp.input_turns import COMMANDS_PER_READ
 from ochrecourse.resp.lingering_close import LingeringClose
 from ochrecourse.resp.pipeline import CommandPipeline, ReplySlot
 from ochrecourse.resp.replies import (
@@ -36,8 +37,6 @@
     error_reply,
 )
 
-COMMANDS_PER_ITERATION = 256  # of one connection per event loop iteration, some ms, so that none starves
-
 
 @implementer(IPushProducer)
 class RespClientConnection(Protocol):
@@ -58,7 +57,7 @@
         self.input_discarded = False  # further input is not parsed
         self.lingering_close: LingeringClose | None = None  # set while this side closes the connection
         self.write_blocked = False  # back-pressure: the client reads too slowly
-        self.reading_paused = False  # complete commands may be buffered for the loop's next iteration
+        self.reading_paused = False  # complete commands may be buffered for the connection's next turn
         self.rejecting = False  # late in the shutdown: requests that have not started are rejected
         self.processing = False  # guards against re-entry while commands are parsed or started
         self.idle_since = 0.0  # clock time in s
@@ -89,6 +88,7 @@
         if self.lingering_close is not None:
             self.lingering_close.connection_lost()
         self._stop_timers()
+        self.owner.input_turns.remove(self)
         self._command_timer.connection_lost()
         self.parser = CommandParser()
         self.owner.connection_closed(self)
@@ -104,27 +104,33 @@
     # --- commands ---
 
     def _process_input(self) -> None:
-        """Handles complete commands, at most `COMMANDS_PER_ITERATION`."""
+        """Handles the first complete commands that were read; those beyond `COMMANDS_PER_READ` wait."""
+        if not self.reading_paused and self.process_commands(COMMANDS_PER_READ):
+            self.owner.input_turns.add(self)
+
+    def process_commands(self, limit: int) -> bool:
+        """Handles at most `limit` complete commands; returns whether more may be buffered."""
         if self.processing or self.input_discarded or not self.connected:
-            return
+            return False
         self.processing = True
         try:
-            self._parse_commands()
+            self._parse_commands(limit)
         except RespProtocolError as error:
             self._end_input(error)
         finally:
             self.processing = False
         self._advance()
+        return self.reading_paused and bool(self.connected)
 
-    def _parse_commands(self) -> None:
-        for _ in range(COMMANDS_PER_ITERATION):
+    def _parse_commands(self, limit: int) -> None:
+        for _ in range(limit):
             arguments = self.parser.next()
             if arguments is None:
                 self._resume_reading()
                 return
             self._command_completed()
             self._handle_command(arguments)
-        self._continue_reading_next_iteration()
+        self._pause_reading()
 
     def _command_completed(self) -> None:
         self._command_timer.command_completed()
@@ -132,11 +138,10 @@
             self.first_command_received = True
             self.owner.connection_sent_command(self)
 
-    def _continue_reading_next_iteration(self) -> None:
+    def _pause_reading(self) -> None:
         if not self.reading_paused:
             self.reading_paused = True
             self.transport.pauseProducing()
-        self._schedule_iteration()
 
     def _resume_reading(self) -> None:
         if self.reading_paused:
@@ -144,16 +149,13 @@
             self.transport.resumeProducing()
 
     def _schedule_iteration(self) -> None:
-        """Schedules further work for the event loop's next iteration."""
+        """Schedules the start of queued requests for the event loop's next iteration."""
         if self._iteration_timer is None:
             self._iteration_timer = self.clock.callLater(0, self._next_iteration)
 
     def _next_iteration(self) -> None:
         self._iteration_timer = None
-        if self.reading_paused:
-            self._process_input()
-        else:
-            self._advance()
+        self._advance()
 
     def _update_command_timer(self) -> None:
         """Starts or stops the time of a partial command; while reading is paused none of it counts."""
@@ -342,9 +344,8 @@
             self.processing = False
         if not self.parser.has_partial_message():
             return False
-        self.reading_paused = True
-        self.transport.pauseProducing()
-        self._schedule_iteration()
+        self._pause_reading()
+        self.owner.input_turns.add(self)
         return True
 
     def _begin_close(self) -> None:
--- a/ochrecourse/resp/connection_owner.py
+++ b/ochrecourse/resp/connection_owner.py
@@ -8,6 +8,7 @@
 from ochrecourse.common.runtime import Clock
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.resp.commands import RequestClasses
+from ochrecourse.resp.input_turns import InputTurns
 from ochrecourse.resp.pipeline import PipelineTotals
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     clock: Clock
     request_classes: RequestClasses
     totals: PipelineTotals
+    input_turns: InputTurns
     counts: Counter[str]  # client errors by code
     shutting_down: bool
     max_linger_seconds: float | None
--- a/ochrecourse/resp/server.py
+++ b/ochrecourse/resp/server.py
@@ -15,6 +15,7 @@
 from ochrecourse.resp.client_connection import RespClientConnection
 from ochrecourse.resp.commands import RequestClasses
 from ochrecourse.resp.memory_budget import MemoryBudget, budget_bytes
+from ochrecourse.resp.input_turns import InputTurns
 from ochrecourse.resp.pipeline import PipelineTotals
 
 MIN_SILENT_SECONDS = 0.25  # a new connection without a command is not evicted sooner
@@ -67,6 +68,7 @@
         self.idle: OrderedDict[RespClientConnection, None] = OrderedDict()  # without an open request
         self.lingering: dict[RespClientConnection, None] = {}  # closed by this side but not yet by the client
         self.totals = PipelineTotals(MemoryBudget(budget_bytes(limits.memory_mb, limits.max_connections)))
+        self.input_turns = InputTurns(clock)
         self.counts: Counter[str] = Counter()  # client errors by code, for the log
         self.closed_connections = 0  # since the start
         self.shutting_down = False
@@ -206,6 +208,7 @@
         """Cancels the server's own timers."""
         stop(self._idle_check_timer)
         stop(self._reject_timer)
+        self.input_turns.stop()
         self._idle_check_timer = self._reject_timer = None
 
     # --- gateway.RequestObserver ---
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -19,7 +19,7 @@
 from ochrecourse.service.start_settings import parse_start_settings
 from ochrecourse.resp import codec
 from ochrecourse.resp import server
-from ochrecourse.resp import client_connection, pipeline
+from ochrecourse.resp import input_turns, pipeline
 from ochrecourse.resp.memory_budget import SHARED_FRACTION
 from ochrecourse.resp.lingering_close import DRAIN_SECONDS, LINGER_SECONDS
 from ochrecourse.standins.resp_node import ListAgent, RespNode, success_reply
@@ -404,7 +404,7 @@
         shop.loop.iterate()
         iterations += 1
         got += read_available(flooding)
-    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // client_connection.COMMANDS_PER_ITERATION
+    assert got == b"+PONG\r\n" * 4000 and iterations >= 4000 // input_turns.COMMANDS_PER_ITERATION
 
 
 # --- attempts after a client's close ---
