Hundreds of connections together stay within the memory; ids of leavers do not run again

Seen by callers: gateways of 64 and 80 MB killed beside hundreds of clients that write slowly, stop half way or send many short fields.

Cause: what was bounded for each connection was not bounded for all, namely partial commands, commands that wait for a turn, replies in transports; all that was readable was read in one iteration. Ids that may have run are kept 5 s (recent_ids).

--- a/ochrecourse/common/monotonic_reactor.py
+++ b/ochrecourse/common/monotonic_reactor.py
@@ -18,8 +18,10 @@
 from twisted.python.failure import Failure
 
 from ochrecourse.common.event_loop import PollHistory
+from ochrecourse.common.paced_connection import PacedConnection
 from ochrecourse.common.runtime import now_ns
 
+ACCEPTS_PER_ITERATION = 16  # of the event loop, so that clients that come and go leave time to the others
 ACCEPT_PAUSE = 0.02  # s for which a port without capacity is not polled; its clients wait in the kernel
 COLLECTION_INTERVAL = 10.0  # s between checks whether a garbage collection is worthwhile
 MANY_CLOSED_CONNECTIONS = 5_000  # since the last collection; each leaves a few KiB in reference cycles
@@ -32,6 +34,7 @@
     connections may be open now; unlimited by default.
     """
 
+    transport = PacedConnection
     capacity: Callable[[], int] = staticmethod(lambda: sys.maxsize)
     _pause: Any = None
 
@@ -40,7 +43,7 @@
         capacity = self.capacity()
         accepted_before = self.sessionno
         if capacity > 0:
-            self.numberAccepts = min(self.numberAccepts, capacity)
+            self.numberAccepts = min(self.numberAccepts, capacity, ACCEPTS_PER_ITERATION)
             super().doRead()  # type: ignore[no-untyped-call]
         if self.sessionno == accepted_before and self._pause is None:
             # Prevents a busy loop: a client that waits in the kernel keeps the port readable.
--- a/ochrecourse/gateway/gateway.py
+++ b/ochrecourse/gateway/gateway.py
@@ -175,6 +175,16 @@
         """Returns the id of the next request, whose response may be delivered before `submit` returns."""
         return self._last_request_id + 1
 
+    def may_have_run(self, request_id: int) -> bool:
+        """Whether an attempt of an open request was, or may have been, written to a node."""
+        in_flight = self.in_flight.get(request_id)
+        if in_flight is None:
+            return False
+        attempt = in_flight.attempt
+        if attempt is not None and attempt.write_progress() is not WriteProgress.NOTHING:
+            return True
+        return len(in_flight.record.attempts) > (attempt is not None)
+
     def cancel(self, request_id: int) -> None:
         """Cancels a request whose client no longer waits."""
         unsent = self.object_cache is not None and self.object_cache.request_cancelled(request_id)
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -17,6 +17,7 @@
 
 from ochrecourse.common.client_input import ClientInput, client_input
 from ochrecourse.common.errors import without_traceback
+from ochrecourse.common.paced_connection import MAX_READ_BYTES, PacedConnection
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.resp.codec import CommandParser, RespProtocolError
@@ -48,7 +49,7 @@
         self.owner = owner
         self.gateway = owner.gateway
         self.clock = owner.clock
-        self.parser = CommandParser()
+        self.parser = CommandParser(asks_for_bodies=True)
         self.pipeline = CommandPipeline(owner.totals)
         self.in_flight: dict[int, ReplySlot] = {}  # by the gateway's request id
         self.connected = False
@@ -73,6 +74,7 @@
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)  # before any write: a reset discards delayed data
         self.transport.registerProducer(self, True)
+        self._limit_next_read()
         self._command_timer.connection_opened()
         self.owner.connection_opened(self)
 
@@ -80,7 +82,9 @@
         """Parses received bytes (Twisted callback)."""
         if not self.input_discarded and self.connected:
             self.parser.feed(data)
+            self.pipeline.totals.bodies.body_progressed(self)
             self._process_input()
+        self._limit_next_read()
 
     def connectionLost(self, reason: Any = None) -> None:
         """Cancels all requests when the client closes its connection or sending side (Twisted callback)."""
@@ -90,11 +94,14 @@
         self._stop_timers()
         self.owner.input_turns.remove(self)
         self._command_timer.connection_lost()
-        self.parser = CommandParser()
+        self._reset_parser()
         self.owner.connection_closed(self)
+        in_flight, self.in_flight = self.in_flight, {}
+        self.pipeline.remember_ids(
+            slot for each, slot in in_flight.items() if self.gateway.may_have_run(each)
+        )
         self.pipeline.clear()
-        request_ids, self.in_flight = list(self.in_flight), {}
-        self.gateway.cancel_all(request_ids)
+        self.gateway.cancel_all(list(in_flight))
 
     def _stop_timers(self) -> None:
         self._command_timer.stop()
@@ -119,19 +126,57 @@
             self._end_input(error)
         finally:
             self.processing = False
+        if self.pipeline.more_input and self.client_input() is ClientInput.READ:
+            self.pipeline.more_input = self.parser.has_partial_message()
         self._advance()
         return self.reading_paused and bool(self.connected)
 
     def _parse_commands(self, limit: int) -> None:
         for _ in range(limit):
-            arguments = self.parser.next()
+            arguments = self._next_command()
             if arguments is None:
                 self._resume_reading()
                 return
             self._command_completed()
             self._handle_command(arguments)
+            if self.parser.had_large_body and client_input(self.transport) is ClientInput.UNREAD:
+                break  # another large one is likely to follow, and takes a turn of its own
         self._pause_reading()
 
+    def _next_command(self) -> list[bytes] | None:
+        """Returns the next complete command; its memory, if any was reserved, is free again."""
+        arguments = self.parser.next()
+        while arguments is None and self.parser.announced_body:
+            self._body_announced(self.parser.announced_body)
+            arguments = self.parser.next()
+        if arguments is not None:
+            self.pipeline.totals.bodies.release(self)
+        return arguments
+
+    def _body_announced(self, size: int) -> None:
+        """Reserves the memory of a body that is about to come; without any it is discarded."""
+        pipeline = self.pipeline
+        wanted = self.protocol_error is None
+        if wanted and pipeline.totals.bodies.reserve(self, pipeline.memory, size, pipeline.nothing_open()):
+            self.parser.accept_body()
+        else:
+            self.parser.discard_body()
+
+    def discard_body(self) -> None:
+        """Discards the body that is being received, whose memory others need (`BodyReceiver`)."""
+        self.parser.discard_body()
+
+    def _reset_parser(self) -> None:
+        """Discards what was received; no more is parsed."""
+        self.pipeline.totals.bodies.release(self)
+        self.parser = CommandParser()
+
+    def _limit_next_read(self) -> None:
+        """Limits the next read, so that few commands wait for their turn in memory."""
+        if isinstance(self.transport, PacedConnection):
+            unlimited = self.input_discarded
+            self.transport.read_bytes = MAX_READ_BYTES if unlimited else self.parser.read_size()
+
     def _command_completed(self) -> None:
         self._command_timer.command_completed()
         if not self.first_command_received:
@@ -140,7 +185,7 @@
 
     def _pause_reading(self) -> None:
         if not self.reading_paused:
-            self.reading_paused = True
+            self.reading_paused = self.pipeline.more_input = True
             self.transport.pauseProducing()
 
     def _resume_reading(self) -> None:
@@ -178,7 +223,11 @@
         except RespProtocolError as error:
             self.pipeline.append(ReplySlot(reply=self._fail(error)))
             return
-        if self.rejecting or not self.pipeline.enqueue(slot):
+        if slot.client_request_id in self.pipeline.totals.recent_ids:
+            self.pipeline.append(ReplySlot(reply=FAILED_REPLY))
+            return
+        if self.rejecting or self.parser.body_discarded or not self.pipeline.enqueue(slot):
+            self.owner.counts["requests_without_memory"] += not self.rejecting
             self.pipeline.append(ReplySlot(reply=BUSY_REPLY))
             return
         self.owner.connection_busy(self)
@@ -257,7 +306,7 @@
         """Discards buffered and further input, which is still read to detect the client's close."""
         self.input_discarded = True
         self._stop_timers()
-        self.parser = CommandParser()
+        self._reset_parser()
         self._resume_reading()
 
     # --- replies ---
@@ -288,10 +337,16 @@
         ready = self.pipeline.take_ready_replies()
         if ready and self.connected:
             self.transport.write(b"".join(ready))
+            self.output_sent()
             if not self.pipeline.slots:
                 self.idle_since = self.clock.seconds()
                 self.owner.connection_idle(self)
 
+    def output_sent(self) -> None:
+        """Counts the replies that are still unsent, after some were written or sent (PacedConnection)."""
+        if self.connected and isinstance(self.transport, PacedConnection):
+            self.pipeline.output_buffered(self.transport.unsent_bytes())
+
     # --- closing from this side ---
 
     def _is_idle(self) -> bool:
--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -23,6 +23,8 @@
 MAX_COMMAND_BYTES = (
     MAX_COMMAND_BULK_BYTES + MAX_OTHER_BULKS_BYTES + (MAX_COMMAND_ARGUMENTS + 1) * (MAX_LENGTH_LINE_BYTES + 4)
 )
+READ_BYTES = 4_096  # of one read where no large bulk string is under way: some tens of commands
+BULK_END_BYTES = 2  # behind a bulk string
 CARRIAGE_RETURN = 13
 COMMAND_TYPE = 42  # `*`, the first byte of a command
 BULK_TYPE = 36  # `$`, the first byte of each argument
@@ -132,13 +134,45 @@
 
 
 class CommandParser(_RespParser):
-    """Parses a client's commands: call `feed`, then `next` until it returns None."""
+    """Parses a client's commands: call `feed`, then `next` until it returns None.
 
-    def __init__(self) -> None:
+    With `asks_for_bodies` it also returns None when a large bulk string is announced (`announced_body`), and
+    goes on when `accept_body` or `discard_body` was called.
+    """
+
+    def __init__(self, asks_for_bodies: bool = False) -> None:
         super().__init__()
+        self.announced_body = 0  # bytes; above 0 while the parser waits for a decision
+        self.had_large_body = False  # the command that `next` returned last
+        self.body_discarded = False  # of that command
+        self._asks_for_bodies = asks_for_bodies
+        self._discarding = False  # the bulk string that is being read
         self._arguments: list[bytes] = []
         self._arguments_left = 0
 
+    def accept_body(self) -> None:
+        """Buffers the announced bulk string."""
+        self.announced_body = 0
+
+    def discard_body(self) -> None:
+        """Frees what was received of the announced or current bulk string, and discards its rest."""
+        self.announced_body = 0
+        self._discarding = True
+        self._discard_received()
+
+    def read_size(self) -> int:
+        """Returns how many bytes are worth reading at once."""
+        if self._bulk_length < 0 or self.announced_body:
+            return READ_BYTES
+        missing = self._bulk_length + BULK_END_BYTES - (len(self._buffer) - self._position)
+        return min(MAX_COMMAND_BULK_BYTES, max(READ_BYTES, missing))
+
+    def _discard_received(self) -> None:
+        """Drops the buffered bytes of a bulk string that is not kept, but for its end."""
+        count = min(self._bulk_length, len(self._buffer) - self._position)
+        del self._buffer[self._position : self._position + count]
+        self._bulk_length -= count
+
     def has_partial_message(self) -> bool:
         """Whether a command has begun and is not complete."""
         return self._arguments_left > 0 or self.has_unparsed_bytes()
@@ -148,32 +182,50 @@
 
         Raises RespProtocolError.
         """
-        while True:
+        while not self.announced_body:
             if self._bulk_length >= 0:
-                argument = self._read_bulk()
+                argument = self._read_argument()
                 if argument is None:
                     return None
                 self._arguments.append(argument)
                 self._arguments_left -= 1
                 if not self._arguments_left:
-                    arguments, self._arguments = self._arguments, []
-                    self._message_complete()
-                    return arguments
-                continue
-            line = self._read_line(MAX_LENGTH_LINE_BYTES)
-            if line is None:
-                expected = BULK_TYPE if self._arguments_left else COMMAND_TYPE
-                if self.has_unparsed_bytes() and self._buffer[self._position] != expected:
-                    raise RespProtocolError("not_a_command", "a command is an array of bulk strings")
+                    return self._command_complete()
+            elif not self._read_length():
                 return None
-            if self._arguments_left:
-                if line[:1] != b"$":
-                    raise RespProtocolError("not_a_command", "a command is an array of bulk strings")
-                self._bulk_length = self._parse_bulk_length(line, 0)
-            else:
-                if line[:1] != b"*":
-                    raise RespProtocolError("not_a_command", "a command is an array of bulk strings")
-                self._arguments_left = self._parse_integer(line, 1, MAX_COMMAND_ARGUMENTS, "bad_count")
+        return None
+
+    def _read_argument(self) -> bytes | None:
+        """Returns the bulk string that is being read, or None until it is complete; empty if discarded."""
+        if self._discarding:
+            self._discard_received()
+        return self._read_bulk()
+
+    def _read_length(self) -> bool:
+        """Reads the line that announces a command or an argument; returns False until it is complete."""
+        expected = BULK_TYPE if self._arguments_left else COMMAND_TYPE
+        is_expected = not self.has_unparsed_bytes() or self._buffer[self._position] == expected
+        line = self._read_line(MAX_LENGTH_LINE_BYTES)
+        if not is_expected:
+            raise RespProtocolError("not_a_command", "a command is an array of bulk strings")
+        if line is None:
+            return False
+        if self._arguments_left:
+            self._bulk_length = self._parse_bulk_length(line, 0)
+            is_large = self._bulk_length > MAX_OTHER_BULKS_BYTES
+            if is_large and self._asks_for_bodies and not self._discarding:
+                self.announced_body = self._bulk_length
+        else:
+            self._arguments_left = self._parse_integer(line, 1, MAX_COMMAND_ARGUMENTS, "bad_count")
+        return True
+
+    def _command_complete(self) -> list[bytes]:
+        """Returns the arguments of a complete command."""
+        arguments, self._arguments = self._arguments, []
+        self.body_discarded, self._discarding = self._discarding, False
+        self.had_large_body = self._bulk_total > MAX_OTHER_BULKS_BYTES
+        self._message_complete()
+        return arguments
 
 
 class ReplyParser(_RespParser):
--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
 from ochrecourse.common.requests import Request
+from ochrecourse.common.runtime import Clock
+from ochrecourse.resp.body_memory import BodyMemory
 from ochrecourse.resp.codec import RespProtocolError, encode_bulk_string
 from ochrecourse.resp.memory_budget import MemoryAccount, MemoryBudget
+from ochrecourse.resp.recent_ids import RecentIds
 from ochrecourse.resp.replies import FAILED_REPLY
 
 MAX_RUNNING_REQUESTS = 32  # of one connection: submitted, or with a reply that is not written yet
@@ -19,13 +23,14 @@
 # Above this total, no connection may have more than `MAX_RUNNING_REQUESTS`.
 MAX_UNANSWERED_COMMANDS_TOTAL = 65_536
 REQUEST_OVERHEAD_BYTES = 3_072  # memory of an open request in addition to its value
+MAX_ANSWERED_IDS = 64  # of one connection, the last ones, kept until it ends
 REPLY_SLOT_BYTES = 160  # memory of an unanswered command
 
 
 class ReplySlot:
     """A command's entry in the queue of replies."""
 
-    __slots__ = ("client_request_id", "memory_bytes", "queued_request", "reply", "request_class")
+    __slots__ = ("client_request_id", "memory_bytes", "queued_request", "reply", "request_class", "units")
 
     def __init__(
         self,
@@ -37,15 +42,18 @@
         self.reply = reply  # None until the command is answered
         self.queued_request = queued_request  # None once it is started
         self.request_class = queued_request.request_class if queued_request is not None else ""
+        self.units = queued_request.units if queued_request is not None else 0.0
         self.memory_bytes = 0  # counted for the command, then for its reply
 
 
 class PipelineTotals:
     """Shared by the pipelines of all connections: totals, and the ids of open requests."""
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, clock: Clock) -> None:
         self.budget = budget
+        self.bodies = BodyMemory(budget)
         self.unanswered_commands = 0
+        self.recent_ids = RecentIds(clock)
         self.open_request_ids: dict[bytes, ReplySlot] = {}
 
     def release_request_id(self, client_request_id: bytes, slot: ReplySlot) -> None:
@@ -57,13 +65,25 @@
 class CommandPipeline:
     """One connection's unanswered commands, oldest first, and its queued requests."""
 
-    __slots__ = ("memory", "queued", "running", "slots", "totals")
+    __slots__ = (
+        "answered_ids",
+        "memory",
+        "more_input",
+        "queued",
+        "running",
+        "slots",
+        "totals",
+        "unsent_bytes",
+    )
 
     def __init__(self, totals: PipelineTotals) -> None:
         self.totals = totals
         self.memory = MemoryAccount(totals.budget)
         self.slots: deque[ReplySlot] = deque()
         self.queued: deque[ReplySlot] = deque()  # of these, requests not yet submitted to the gateway
+        self.answered_ids: deque[bytes] = deque(maxlen=MAX_ANSWERED_IDS)
+        self.more_input = False  # the client sends without waiting for replies
+        self.unsent_bytes = 0  # of replies that were written to the transport
         self.running = 0  # started requests whose replies are not written
 
     def check_command_limits(self) -> None:
@@ -86,14 +106,23 @@
         """Queues a request. Returns False if there is no memory for it."""
         body = slot.queued_request.body if slot.queued_request is not None else None
         memory_bytes = REQUEST_OVERHEAD_BYTES + (body.size if body is not None else 0)
-        memory_bytes += self.totals.budget.expected_reply_size(slot.request_class)
-        if not self.memory.has_room(memory_bytes, nothing_open=not self.slots):
+        memory_bytes += self.totals.budget.expected_reply_size(slot.request_class, slot.units)
+        if not self.totals.bodies.make_room(self.memory, memory_bytes, self.nothing_open()):
             return False
         self._add_slot(slot, memory_bytes)
         self.queued.append(slot)
         self.totals.open_request_ids[slot.client_request_id] = slot
         return True
 
+    def nothing_open(self) -> bool:
+        """Whether the client waits for no reply, has read all before, and sends one command at a time."""
+        return not self.slots and not self.unsent_bytes and not self.more_input
+
+    def output_buffered(self, size: int) -> None:
+        """Counts the replies that are written and not sent yet."""
+        self.memory.add(size - self.unsent_bytes)
+        self.unsent_bytes = size
+
     def _add_slot(self, slot: ReplySlot, memory_bytes: int) -> None:
         self.slots.append(slot)
         self.totals.unanswered_commands += 1
@@ -118,9 +147,9 @@
 
     def complete_with_value(self, slot: ReplySlot, data: bytes) -> None:
         """Sets the value that answers a request; a failure in its place if it must wait without memory."""
-        self.totals.budget.value_received(slot.request_class, len(data))
-        must_wait = slot is not self.slots[0]
-        if must_wait and self.memory.is_overdrawn(len(data) - slot.memory_bytes):
+        self.totals.budget.value_received(slot.request_class, slot.units, len(data))
+        must_wait = slot is not self.slots[0] or self.unsent_bytes > 0
+        if must_wait and self.memory.overdraft(len(data) - slot.memory_bytes) > 0:
             self.complete(slot, FAILED_REPLY)
         else:
             self.complete(slot, encode_bulk_string(data))
@@ -138,11 +167,25 @@
         while slots and slots[0].reply is not None:
             slot = slots.popleft()
             self.totals.unanswered_commands -= 1
-            self.running -= bool(slot.client_request_id)
+            if slot.client_request_id:
+                self.running -= 1
+                self.answered_ids.append(slot.client_request_id)
             self._count_slot(slot, 0)
             ready.append(slot.reply or b"")
         return ready
 
+    def remember_ids(self, unanswered: Iterable[ReplySlot]) -> None:
+        """Keeps the ids of requests that may have run, when the connection has ended, should they come again.
+
+        These are the last that were answered, as the client may not have read it, those whose replies waited,
+        and those `unanswered`.
+        """
+        ids = [*self.answered_ids, *(slot.client_request_id for slot in unanswered)]
+        ids += [slot.client_request_id for slot in self.slots if slot.reply is not None]
+        for client_request_id in ids:
+            if client_request_id:
+                self.totals.recent_ids.add(client_request_id)
+
     def awaits_replies(self) -> bool:
         """Whether any command has no reply yet."""
         return any(slot.reply is None for slot in self.slots)
@@ -162,3 +205,4 @@
         self.totals.unanswered_commands -= len(self.slots)
         self.slots.clear()
         self.queued.clear()
+        self.output_buffered(0)
--- a/ochrecourse/resp/server.py
+++ b/ochrecourse/resp/server.py
@@ -67,7 +67,9 @@
         self.silent: dict[RespClientConnection, None] = {}  # without a complete command so far
         self.idle: OrderedDict[RespClientConnection, None] = OrderedDict()  # without an open request
         self.lingering: dict[RespClientConnection, None] = {}  # closed by this side but not yet by the client
-        self.totals = PipelineTotals(MemoryBudget(budget_bytes(limits.memory_mb, limits.max_connections)))
+        self.totals = PipelineTotals(
+            MemoryBudget(budget_bytes(limits.memory_mb, limits.max_connections)), clock
+        )
         self.input_turns = InputTurns(clock)
         self.counts: Counter[str] = Counter()  # client errors by code, for the log
         self.closed_connections = 0  # since the start
--- a/tests/relay_process.py
+++ b/tests/relay_process.py
@@ -74,9 +74,10 @@
         agent_responds=True,
         known=None,
         listen="127.0.0.1:0",
+        command=None,
         **start_file,
     ):
-        """`start_file`: further parts of the start file, in place of the usual ones."""
+        """`command`: starts the child, by default the module; `start_file`: further parts of the start file."""
         self.node, self.agent, self.other = _start_server(_Node), _start_server(_Agent), _start_server(_Agent)
         self.node_port, self.agent_port, self.other_port = (
             server.server_address[1] for server in (self.node, self.agent, self.other)
@@ -94,7 +95,7 @@
         if points:
             env["PYTHONPATH"] = str(HOOK)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "ochrecourse.relay"],
+            command or [sys.executable, "-m", "ochrecourse.relay"],
             env=env,
             stderr=subprocess.PIPE,
             text=True,
--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -8,6 +8,7 @@
 
 import pytest
 from test_service import FLAT, PING, Shop, listed, read, value, write
+from twisted.internet.tcp import Port
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
@@ -23,7 +24,7 @@
 from ochrecourse.resp.memory_budget import SHARED_FRACTION
 from ochrecourse.resp.lingering_close import DRAIN_SECONDS, LINGER_SECONDS
 from ochrecourse.standins.resp_node import ListAgent, RespNode, success_reply
-from ochrecourse.common.monotonic_reactor import unread_since
+from ochrecourse.common.monotonic_reactor import BoundedAcceptPort, unread_since
 
 SYSTEM_TIMEOUT_MS = 60_000  # upper bound for waits on the operating system; no result depends on it
 MAX_ITERATIONS = 10_000  # after which a test that waits for a condition fails
@@ -33,6 +34,12 @@
 BODY = b"x" * 30_000
 
 
+class PacedPort(Port):
+    """A port whose connections are those of the service's port."""
+
+    transport = BoundedAcceptPort.transport
+
+
 class SteppedReactor(EPollReactor):
     """A real event loop on real sockets that runs one iteration per call; its clock is advanced by tests."""
 
@@ -44,6 +51,11 @@
     def seconds(self):
         return self.now
 
+    def listenTCP(self, port, factory, backlog=50, interface=""):
+        listening = PacedPort(port, factory, backlog, interface, self)
+        listening.startListening()
+        return listening
+
     def iterate(self, wait=0.0):
         """Runs one iteration: first timers that are due, then sockets that are ready."""
         self.now += 1e-6  # an iteration takes some time
@@ -218,6 +230,7 @@
     shop = make_shop(lambda arguments: None)
     client, connection = shop.client()
     shop.send(client, b"".join(read(i, d=60_000) for i in range(1, count + 1)))
+    shop.loop.run_until(lambda: len(connection.pipeline.slots) == count)
     shop.loop.settle()
     assert shop.open == min(count, 32) and connection.connected
     sent = len(shop.node.commands)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -18,6 +18,7 @@
 from ochrecourse.nodes.dispatcher import MAX_INPUT_WAIT, Dispatcher
 from ochrecourse.common.time_units import SECOND
 from ochrecourse.resp.input_gate import MAX_INPUT_WAIT_SECONDS, InputGate
+from ochrecourse.resp.recent_ids import KEPT_SECONDS
 from ochrecourse.standins.resp_node import success_reply
 
 __all__ = ["make_shop"]
@@ -216,3 +217,24 @@
     client.close()
     wait_for_close(connection)
     assert client_input(connection.transport) is ClientInput.CLOSED
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_an_id_that_comes_again_after_its_client_left_does_not_run_again(make_shop, answered):
+    """Guards against a second run of a request whose first copy may have run for a client that left."""
+    shop = make_shop(success_reply if answered else lambda arguments: None)
+    client, _ = shop.client()
+    shop.send(client, read(1, d=60_000))
+    shop.loop.run_until(lambda: shop.node.commands)
+    shop.loop.settle()
+    client.close()
+    shop.loop.run_until(lambda: not shop.server.connections)
+    shop.node.reply = success_reply
+    other, _ = shop.client()
+    shop.send(other, read(1, d=60_000) + read(2, d=60_000))
+    shop.loop.run_until(lambda: len(shop.node.commands) == 2)
+    shop.loop.settle()
+    assert read_available(other) == b"-ERR failed\r\n" + value(2)
+    shop.loop.now += KEPT_SECONDS
+    shop.send(other, read(1, d=60_000))
+    shop.loop.run_until(lambda: len(shop.node.commands) == 3)
--- a/tests/test_client_machine.py
+++ b/tests/test_client_machine.py
@@ -309,7 +309,7 @@
             pipelines = [each.pipeline for each in server.connections]
             assert server.totals.budget.used == sum(each.memory.used for each in pipelines)
             for each in pipelines:
-                assert each.memory.used == sum(slot.memory_bytes for slot in each.slots)
+                assert each.memory.used == sum(slot.memory_bytes for slot in each.slots) + each.unsent_bytes
 
     def teardown(self):
         if not hasattr(self, "peers"):
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -6,6 +6,7 @@
 from test_service import PING, Shop, read, write
 
 from ochrecourse.resp import codec
+from ochrecourse.resp.body_memory import BodyMemory
 from ochrecourse.resp.memory_budget import (
     CONNECTION_BYTES,
     MAX_BUDGET_BYTES,
@@ -96,7 +97,7 @@
     shop.serve(client, 1)
     read_available(client)
     budget = shop.server.totals.budget
-    assert budget.expected_reply_size("read") >= 60_000 and not budget.expected_reply_size("mark")
+    assert budget.expected_reply_size("read", 2) >= 60_000 and not budget.expected_reply_size("mark", 2)
     budget.limit = 1_500_000
     shop.node.reply = lambda arguments: None
     shop.send(client, b"".join(read(number, d=60_000) for number in range(1_000, 1_040)))
@@ -106,10 +107,10 @@
 
 def test_the_expected_size_follows_values_that_become_smaller():
     budget = MemoryBudget()
-    budget.value_received("read", 60_000)
+    budget.value_received("read", 2, 60_000)
     for _ in range(300):
-        budget.value_received("read", 100)
-    assert 100 <= budget.expected_reply_size("read") < 1_000
+        budget.value_received("read", 2, 100)
+    assert 100 <= budget.expected_reply_size("read", 2) < 1_000
 
 
 def test_values_that_must_wait_without_memory_fail_and_use_none(make_shop):
@@ -129,3 +130,156 @@
     shop.loop.settle()
     values = [reply for reply in replies_of(client) if isinstance(reply, bytes)]
     assert len(values) == sum(len(reply) > 60_000 for reply in waiting) + 1
+
+
+# --- large bodies that are being received ---
+
+
+class Receiver:
+    """A connection that receives a body."""
+
+    def __init__(self, bodies, budget):
+        self.bodies, self.account, self.discarded = bodies, MemoryAccount(budget), 0
+
+    def reserve(self, size, nothing_open=True):
+        return self.bodies.reserve(self, self.account, size, nothing_open)
+
+    def discard_body(self):
+        self.discarded += 1
+
+
+@pytest.fixture
+def receivers():
+    budget = MemoryBudget(BUDGET)
+    bodies = BodyMemory(budget)
+    return [Receiver(bodies, budget) for _ in range(30)]
+
+
+def test_a_body_makes_room_in_place_of_those_in_which_nothing_came_for_longest(receivers):
+    """Guards against clients that stop in the middle of a request and cost others theirs."""
+    bodies, budget = receivers[0].bodies, receivers[0].account.budget
+    count = sum(each.reserve(50_000) for each in receivers[:15])
+    assert budget.used <= budget.limit
+    bodies.body_progressed(receivers[0])
+    late = receivers[20]
+    assert late.reserve(100_000) and budget.used <= budget.limit
+    dropped = [number for number, each in enumerate(receivers) if each.discarded]
+    assert count == 15 and dropped and 0 not in dropped and dropped == list(range(1, 1 + len(dropped)))
+    assert all(each.discarded <= 1 for each in receivers)
+    for each in receivers:
+        bodies.release(each)
+        bodies.release(each)
+    assert budget.used == 0 and not any(each.account.used for each in receivers)
+
+
+def test_no_body_is_discarded_for_a_client_with_something_open_or_without_effect(receivers):
+    """Guards against a client that sends much at once and takes the memory of others."""
+    first, second, third = receivers[:3]
+    assert first.reserve(300_000)
+    assert not second.reserve(300_000, nothing_open=False) and not first.discarded
+    third.account.add(BUDGET // 2)  # requests, which can't be discarded
+    assert not second.reserve(500_000) and not first.discarded
+
+
+@pytest.mark.parametrize("missing", [1, 100, 20_000])
+def test_half_writes_of_many_clients_are_bounded_and_cost_usual_ones_nothing(make_shop, missing):
+    """Guards against a process that is killed as hundreds of clients stop in the middle of a request."""
+    shop = make_shop()
+    budget = shop.server.totals.budget
+    budget.limit = BUDGET
+    clients = [shop.client() for _ in range(60)]
+    commands = [write(number, body=BODY, d=60_000) for number in range(1, 61)]
+    for (client, _), command in zip(clients, commands, strict=True):
+        shop.send(client, command[:-missing])
+        shop.loop.settle()
+        assert budget.used <= BUDGET
+    buffered = sum(len(connection.parser._buffer) for _, connection in clients)
+    assert buffered <= BUDGET
+    other, _ = shop.client()
+    shop.send(other, write(99, body=BODY, d=60_000))
+    shop.loop.run_until(lambda: shop.node.commands)
+    shop.loop.settle()
+    assert read_available(other).startswith(b"$")
+    for (client, connection), command in zip(clients, commands, strict=True):
+        shop.send(client, command[-missing:])
+        shop.loop.run_until(
+            lambda each=connection: not each.pipeline.slots and not each.parser.has_partial_message()
+        )
+        shop.loop.settle()
+        shop.loop.now += 0.02
+    answers = [read_available(client) for client, _ in clients]
+    assert all(answer == b"-BUSY\r\n" or answer.startswith(b"$") for answer in answers)
+    assert answers[0] == b"-BUSY\r\n" and answers[-1].startswith(b"$")
+    assert budget.used == 0
+
+
+def test_a_command_whose_body_was_discarded_is_refused_and_the_next_one_is_served(make_shop):
+    """Guards against a connection that loses its place in the input behind a discarded body."""
+    shop = make_shop()
+    client, connection = shop.client()
+    budget = shop.server.totals.budget
+    limit, budget.limit = budget.limit, 20_000
+    shop.send(client, write(1, body=BODY, d=60_000)[:-1])
+    shop.loop.settle()
+    assert connection.parser.has_partial_message() and len(connection.parser._buffer) < 10
+    budget.limit = limit
+    shop.send(client, write(1, body=BODY, d=60_000)[-1:] + read(2, d=60_000))
+    shop.loop.run_until(lambda: shop.node.commands)
+    shop.loop.settle()
+    assert read_available(client).startswith(b"-BUSY\r\n$") and len(shop.node.commands) == 1
+    assert budget.used == 0 and shop.server.counts["requests_without_memory"] == 1
+
+
+def test_a_discarded_body_of_an_unsound_command_is_still_a_mistake(make_shop):
+    shop = make_shop()
+    client, _ = shop.client()
+    shop.server.totals.budget.limit = 20_000
+    shop.send(client, write(1, body=BODY).replace(b"c=mark", b"c=read"))
+    shop.loop.settle()
+    assert read_available(client).startswith(b"-ERR bad_field") and not shop.node.commands
+
+
+def test_the_memory_of_a_body_is_free_when_its_client_leaves_or_is_late(make_shop):
+    """Guards against reservations that stay."""
+    shop = make_shop()
+    budget = shop.server.totals.budget
+    for leaves in (True, False):
+        client, connection = shop.client()
+        shop.send(client, write(1, body=BODY)[:-1])
+        shop.loop.run_until(lambda: budget.used > len(BODY))
+        if leaves:
+            client.close()
+        else:
+            shop.loop.now += 3
+        shop.loop.run_until(lambda: budget.used == 0)
+        assert len(connection.parser._buffer) == 0
+
+
+def test_answers_that_nobody_reads_are_counted_until_they_are_sent(make_shop):
+    """Guards against memory of answers in transports that is bounded for each connection but not for all."""
+    shop = make_shop(large_reply)
+    client, connection = shop.client(buffer=4096)
+    shop.fill_write_buffer(client, connection)
+    account = connection.pipeline.memory
+    assert account.used == connection.transport.unsent_bytes() > 60_000
+    assert not connection.pipeline.nothing_open()
+    while connection.transport.unsent_bytes():
+        read_available(client)
+        shop.loop.iterate()
+    assert account.used == 0 and connection.pipeline.nothing_open()
+
+
+def test_a_client_that_sends_without_waiting_has_no_right_to_the_whole_budget(make_shop):
+    """Guards against floods whose every first command counts as that of a usual client."""
+    shop = make_shop()
+    client, connection = shop.client()
+    assert connection.pipeline.nothing_open()
+    client.sendall(b"".join(write(number, body=BODY, d=60_000) for number in range(1, 5)))
+    shop.loop.run_until(lambda: connection.pipeline.more_input)
+    assert not connection.pipeline.nothing_open()
+    for _ in range(MAX_ITERATIONS):
+        if len(shop.node.commands) == 4 and not connection.pipeline.slots:
+            break
+        shop.loop.now += 0.01
+        shop.loop.settle()
+    assert connection.pipeline.nothing_open() and replies_of(client)
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -2,7 +2,7 @@
 
 import pytest
 from test_client_close import make_shop, read_available
-from test_service import PING, read
+from test_service import PING, read, write
 
 from ochrecourse.lab.virtual import VirtualNetwork
 from ochrecourse.resp import input_turns
@@ -73,3 +73,19 @@
     connection.transport.abortConnection()
     shop.loop.settle()
     assert not connection.connected and not shop.server.input_turns._waiting and not connection.pipeline.slots
+
+
+def test_large_commands_that_follow_each_other_take_a_turn_each(make_shop, monkeypatch):
+    """Guards against a flood of large writes that leaves little time to others, and whose commands are few."""
+    shop = make_shop(lambda arguments: None, sockets=512)
+    floods = [shop.client() for _ in range(20)]
+    for number, (client, _) in enumerate(floods):
+        client.sendall(b"".join(write(100 * number + i, body=b"x" * 20_000, d=60_000) for i in range(1, 6)))
+    turns = input_turns.COMMANDS_PER_ITERATION // input_turns.COMMANDS_PER_TURN
+    handled = before = 0
+    for _ in range(400):
+        shop.loop.iterate()
+        handled = sum(len(each.pipeline.slots) for _, each in floods)
+        assert handled - before <= len(floods) + turns
+        before = handled
+    assert handled == 5 * len(floods)
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -23,7 +23,7 @@
 from ochrecourse.service.start_settings import parse_start_settings
 from ochrecourse.resp import codec
 from ochrecourse.standins.resp_node import ListAgent, RespNode, success_reply
-from ochrecourse.common.monotonic_reactor import BoundedAcceptPort, make_reactor
+from ochrecourse.common.monotonic_reactor import ACCEPTS_PER_ITERATION, BoundedAcceptPort, make_reactor
 
 MAX_ITERATIONS = 100_000  # bound on iterations of the event loop, each of a tenth of a second at most
 
@@ -284,3 +284,25 @@
     port.stopListening()
     for each in reactor.removeAll():
         each.connectionLost(Failure(ConnectionDone()))
+
+
+def test_one_iteration_accepts_a_bounded_number_of_clients():
+    """Guards against clients that come and go at full speed and leave no time to the others."""
+    reactor = make_reactor(BoundedAcceptPort)
+    accepted = []
+
+    class Counted(Protocol):
+        def connectionMade(self):
+            accepted.append(self)
+
+    port = reactor.listenTCP(0, Factory.forProtocol(Counted), interface="127.0.0.1")
+    clients = [socket.create_connection(("127.0.0.1", port.getHost().port), timeout=60) for _ in range(40)]
+    counts = []
+    while sum(counts) < len(clients):
+        before = len(accepted)
+        port.doRead()
+        counts.append(len(accepted) - before)
+    assert max(counts) == ACCEPTS_PER_ITERATION
+    for each in [*clients, *(connection.transport.getHandle() for connection in accepted)]:
+        each.close()
+    port.socket.close()
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -186,3 +186,51 @@
     # A line that only begins with BUSY proves nothing: an attempt that was executed would be retried.
     with pytest.raises(RespProtocolError, match=r"neither|an answer is"):
         parse_reply(reply)
+
+
+BODIES = st.integers(codec.MAX_OTHER_BULKS_BYTES + 1, 3 * codec.READ_BYTES).map(lambda size: b"y" * size)
+
+
+@given(
+    st.lists(st.tuples(BODIES, st.sampled_from(["accept", "discard", "discard later"])), max_size=4),
+    st.data(),
+)
+def test_bodies_are_kept_or_discarded_as_decided_however_the_input_is_split(bodies, data):
+    """Guards against a parser that loses its place in the input behind a body that is not kept."""
+    encoded = b"".join(codec.encode_command([*WRITE[:4], body]) for body, _ in bodies)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(encoded)), max_size=12)))
+    pieces = [encoded[start:end] for start, end in zip([0, *cuts], [*cuts, len(encoded)], strict=True)]
+    parser, decisions, got, later = (
+        CommandParser(asks_for_bodies=True),
+        [each for _, each in bodies],
+        [],
+        False,
+    )
+    for piece in pieces:
+        parser.feed(piece)
+        if later:
+            parser.discard_body()
+            later = False
+        while (arguments := parser.next()) is not None or parser.announced_body:
+            if arguments is not None:
+                got.append((arguments, parser.body_discarded))
+                later = False
+                continue
+            assert 0 < parser.announced_body <= 3 * codec.READ_BYTES
+            decision = decisions[len(got)]
+            (parser.discard_body if decision == "discard" else parser.accept_body)()
+            later = decision == "discard later"
+        assert codec.READ_BYTES <= parser.read_size() <= codec.MAX_COMMAND_BULK_BYTES
+    assert [arguments[:4] for arguments, _ in got] == [WRITE[:4]] * len(bodies)
+    for (body, decision), (arguments, discarded) in zip(bodies, got, strict=True):
+        assert discarded is (arguments[4] != body) and (decision == "accept") <= (not discarded)
+        assert (decision == "discard") <= discarded
+    assert not parser.has_partial_message()
+
+
+def test_a_discarded_body_uses_no_memory():
+    parser = CommandParser(asks_for_bodies=True)
+    parser.feed(codec.encode_command([*WRITE[:4], b"y" * 60_000])[:-9])
+    assert parser.next() is None and parser.announced_body == 60_000
+    parser.discard_body()
+    assert parser.next() is None and len(parser._buffer) - parser._position < 10
