--- a/tests/test_client_close.py
+++ b/tests/test_client_close.py
@@ -375,7 +375,9 @@
     for client, _ in clients:
         client.close()
     shop.loop.run_until(lambda: len(shop.server.connections) == 1)
-    assert shop.server.totals.unanswered_commands <= 2
+    (left,) = shop.server.connections
+    assert not left.pipeline.queued and shop.server.totals.unanswered_commands <= 2
+    assert budget.used == left.pipeline.memory.used <= 2 * (pipeline.REQUEST_OVERHEAD_BYTES + 1024)
 
 
 def test_replies_to_a_client_that_reads_nothing_are_bounded(make_shop):
