Where settings limit retries, times of requests do not pile up without any retry

Seen when the tables of the scheduler were listed: RetryPolicy kept the time of each request and forgot old ones only when a retry was looked at, so memory grew with every request. Old ones are now forgotten with each new request too.

test_rules: 500 kept where the window has 100, failed on the code before; passes now.

--- a/ochrecourse/scheduler/retries.py
+++ b/ochrecourse/scheduler/retries.py
@@ -46,6 +46,7 @@
     def request_received(self, now: int) -> None:
         """Records a new request, which increases the retry budget."""
         if self._settings.has_retry_budget:
+            self._forget_old(now)
             self._request_times.append(now)
 
     def retry_sent(self, now: int) -> None:
@@ -68,12 +69,16 @@
         return not self._settings.has_retry_budget or self._within_budget(now)
 
     def _within_budget(self, now: int) -> bool:
+        self._forget_old(now)
         budget = self._settings.retry_budget
-        window_start = now - budget.window
+        return len(self._retry_times) + 1 <= budget.floor + budget.ratio * len(self._request_times)
+
+    def _forget_old(self, now: int) -> None:
+        """Forgets requests and retries that are no longer in the window of the budget."""
+        window_start = now - self._settings.retry_budget.window
         for times in (self._request_times, self._retry_times):
             while times and times[0] <= window_start:
                 times.popleft()
-        return len(self._retry_times) + 1 <= budget.floor + budget.ratio * len(self._request_times)
 
     def write_before(self, pending: PendingRequest) -> int:
         """Returns the clock time in ns from which an attempt may no longer be written.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,6 +119,18 @@
     assert [type(decision) for decision in harness.decide_all(START + MS)] == [Reply]
 
 
+def test_the_window_of_the_retry_budget_is_all_that_is_kept_without_any_retry(make_harness):
+    """Guards against memory that grows with every request where settings limit retries and none is made."""
+    harness = make_harness(Safety__ExtraFloor="0", Safety__ExtraRatio="0.5", Safety__CountedOver="10000")
+    for number in range(500):
+        now = START + number * 100 * MS
+        harness.submit(now)
+        for decision in harness.decide_all(now):
+            if isinstance(decision, Attempt):
+                harness.end_attempt(decision, now)
+    assert len(harness.scheduler.retries._request_times) <= 100
+
+
 def test_limit_bucket_starts_empty_and_fills_at_the_gateway_s_share(harness):
     harness.submit(tenant=1, units=1.0)
     assert harness.decide_all() == []
