Words that are each below a large one count together in the memory of connections

Seen on reading the change again: a command's words below 2 KiB were not counted each, so 590 clients with seven of them and no eighth held 14 KB each beside the budget. Memory is now reserved from the word on with which a command exceeds 2 KiB.

--- a/ochrecourse/resp/body_memory.py
+++ b/ochrecourse/resp/body_memory.py
@@ -52,11 +52,13 @@
         return account.has_room(size, nothing_open)
 
     def reserve(self, receiver: BodyReceiver, account: MemoryAccount, size: int, nothing_open: bool) -> bool:
-        """Reserves the memory of a body of `size` bytes; returns False if there is none."""
+        """Reserves the memory of a body of `size` bytes, beside what the receiver has; False without any."""
         size += round(size * BUFFER_GROWTH)
+        self.body_progressed(receiver)  # the last to make room for itself
         if not self.make_room(account, size, nothing_open):
             return False
-        self._receiving[receiver] = _Reservation(account, size)
+        reservation = self._receiving.setdefault(receiver, _Reservation(account, 0))
+        reservation.size += size
         self._reserved += size
         account.add(size)
         return True
--- a/ochrecourse/resp/client_connection.py
+++ b/ochrecourse/resp/client_connection.py
@@ -21,6 +21,7 @@
 from ochrecourse.common.runtime import Timer, now_ns, stop
 from ochrecourse.common.requests import BadRequestError, Request
 from ochrecourse.resp.codec import CommandParser, RespProtocolError
+from ochrecourse.resp.command_reader import CommandReader
 from ochrecourse.resp.command_timer import CommandTimer
 from ochrecourse.resp.commands import parse_command
 from ochrecourse.resp.connection_owner import ConnectionOwner
@@ -49,8 +50,8 @@
         self.owner = owner
         self.gateway = owner.gateway
         self.clock = owner.clock
-        self.parser = CommandParser(asks_for_bodies=True)
         self.pipeline = CommandPipeline(owner.totals)
+        self.reader = CommandReader(self.pipeline)
         self.in_flight: dict[int, ReplySlot] = {}  # by the gateway's request id
         self.connected = False
         self.first_command_received = False
@@ -66,6 +67,11 @@
         self._command_timer = CommandTimer(self.clock, self._advance)
         self._iteration_timer: Timer | None = None
 
+    @property
+    def parser(self) -> CommandParser:
+        """The parser of what has been received."""
+        return self.reader.parser
+
     # --- Twisted callbacks ---
 
     def connectionMade(self) -> None:
@@ -81,8 +87,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Parses received bytes (Twisted callback)."""
         if not self.input_discarded and self.connected:
-            self.parser.feed(data)
-            self.pipeline.totals.bodies.body_progressed(self)
+            self.reader.feed(data)
             self._process_input()
         self._limit_next_read()
 
@@ -94,7 +99,7 @@
         self._stop_timers()
         self.owner.input_turns.remove(self)
         self._command_timer.connection_lost()
-        self._reset_parser()
+        self.reader.reset()
         self.owner.connection_closed(self)
         in_flight, self.in_flight = self.in_flight, {}
         self.pipeline.remember_ids(
@@ -133,7 +138,7 @@
 
     def _parse_commands(self, limit: int) -> None:
         for _ in range(limit):
-            arguments = self._next_command()
+            arguments = self.reader.next()
             if arguments is None:
                 self._resume_reading()
                 return
@@ -143,34 +148,6 @@
                 break  # another large one is likely to follow, and takes a turn of its own
         self._pause_reading()
 
-    def _next_command(self) -> list[bytes] | None:
-        """Returns the next complete command; its memory, if any was reserved, is free again."""
-        arguments = self.parser.next()
-        while arguments is None and self.parser.announced_body:
-            self._body_announced(self.parser.announced_body)
-            arguments = self.parser.next()
-        if arguments is not None:
-            self.pipeline.totals.bodies.release(self)
-        return arguments
-
-    def _body_announced(self, size: int) -> None:
-        """Reserves the memory of a body that is about to come; without any it is discarded."""
-        pipeline = self.pipeline
-        wanted = self.protocol_error is None
-        if wanted and pipeline.totals.bodies.reserve(self, pipeline.memory, size, pipeline.nothing_open()):
-            self.parser.accept_body()
-        else:
-            self.parser.discard_body()
-
-    def discard_body(self) -> None:
-        """Discards the body that is being received, whose memory others need (`BodyReceiver`)."""
-        self.parser.discard_body()
-
-    def _reset_parser(self) -> None:
-        """Discards what was received; no more is parsed."""
-        self.pipeline.totals.bodies.release(self)
-        self.parser = CommandParser()
-
     def _limit_next_read(self) -> None:
         """Limits the next read, so that few commands wait for their turn in memory."""
         if isinstance(self.transport, PacedConnection):
@@ -298,6 +275,7 @@
     def _fail(self, error: RespProtocolError) -> bytes:
         """Records a protocol error, after which no request is accepted; returns the error line."""
         self.protocol_error = without_traceback(error)
+        self.reader.keeps_bodies = False
         self.owner.counts[error.code] += 1
         self._command_timer.stop()
         return error_reply(error)
@@ -306,7 +284,7 @@
         """Discards buffered and further input, which is still read to detect the client's close."""
         self.input_discarded = True
         self._stop_timers()
-        self._reset_parser()
+        self.reader.reset()
         self._resume_reading()
 
     # --- replies ---
--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -136,8 +136,8 @@
 class CommandParser(_RespParser):
     """Parses a client's commands: call `feed`, then `next` until it returns None.
 
-    With `asks_for_bodies` it also returns None when a large bulk string is announced (`announced_body`), and
-    goes on when `accept_body` or `discard_body` was called.
+    With `asks_for_bodies` it also returns None when a bulk string is announced with which the command exceeds
+    `MAX_OTHER_BULKS_BYTES` (`announced_body`), and goes on when `accept_body` or `discard_body` was called.
     """
 
     def __init__(self, asks_for_bodies: bool = False) -> None:
@@ -148,6 +148,7 @@
         self._asks_for_bodies = asks_for_bodies
         self._discarding = False  # the bulk string that is being read
         self._arguments: list[bytes] = []
+        self._small_arguments = 0  # the first ones, for which no decision was asked
         self._arguments_left = 0
 
     def accept_body(self) -> None:
@@ -155,8 +156,10 @@
         self.announced_body = 0
 
     def discard_body(self) -> None:
-        """Frees what was received of the announced or current bulk string, and discards its rest."""
+        """Frees the large bulk strings of the command so far, and discards the rest of the current one."""
         self.announced_body = 0
+        large = range(self._small_arguments, len(self._arguments))
+        self._arguments[self._small_arguments :] = [b"" for _ in large]
         self._discarding = True
         self._discard_received()
 
@@ -212,11 +215,13 @@
             return False
         if self._arguments_left:
             self._bulk_length = self._parse_bulk_length(line, 0)
-            is_large = self._bulk_length > MAX_OTHER_BULKS_BYTES
-            if is_large and self._asks_for_bodies and not self._discarding:
+            if self._bulk_total <= MAX_OTHER_BULKS_BYTES:
+                self._small_arguments += 1
+            elif self._asks_for_bodies and not self._discarding:
                 self.announced_body = self._bulk_length
         else:
             self._arguments_left = self._parse_integer(line, 1, MAX_COMMAND_ARGUMENTS, "bad_count")
+            self._small_arguments = 0
         return True
 
     def _command_complete(self) -> list[bytes]:
--- a/tests/floods/bad_clients.py
+++ b/tests/floods/bad_clients.py
@@ -67,6 +67,13 @@
     yield SILENCE
 
 
+@picture
+def medium_words(commands, number):
+    """Commands of as many words as one may have, each just below the size of a large one, without the last."""
+    yield encode_command([b"w" * 2_000] * 8)[:-MISSING_BYTES]
+    yield SILENCE
+
+
 @picture
 def full_speed_writes(commands, number):
     """Large writes without a pause."""
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -283,3 +283,28 @@
         shop.loop.now += 0.01
         shop.loop.settle()
     assert connection.pipeline.nothing_open() and replies_of(client)
+
+
+def test_words_that_are_each_below_a_large_one_count_together(make_shop):
+    """Guards against commands whose many words of medium size are not counted, as none of them is large."""
+    shop = make_shop()
+    budget = shop.server.totals.budget
+    budget.limit = 200_000
+    command = codec.encode_command([b"w" * codec.MAX_OTHER_BULKS_BYTES] * codec.MAX_COMMAND_ARGUMENTS)
+    clients = [shop.client() for _ in range(40)]
+    for client, _ in clients:
+        shop.send(client, command[:-100])
+        shop.loop.settle()
+        assert budget.used <= 200_000
+    held = sum(
+        len(connection.parser._buffer) + sum(map(len, connection.parser._arguments))
+        for _, connection in clients
+    )
+    small = codec.MAX_OTHER_BULKS_BYTES + codec.READ_BYTES
+    assert held <= budget.used + len(clients) * small
+    for client, connection in clients:
+        shop.send(client, command[-100:])
+        shop.loop.run_until(lambda each=connection: each.protocol_error)
+    shop.loop.settle()
+    assert all(read_available(client).startswith(b"-ERR unknown_command") for client, _ in clients)
+    assert budget.used == 0
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -11,7 +11,15 @@
 CLIENTS = 560  # of the 590 that 1,024 descriptors allow
 SERVED_SHARE = 0.5  # STANDING: at least half of what is served without the trouble
 GROWTH_MB = 2.0  # between the halves of a play, while the interpreter's caches fill
-PICTURES = ["half_writes", "drips", "short_fields", "full_speed_writes", "unread_answers", "come_and_go"]
+PICTURES = [
+    "half_writes",
+    "drips",
+    "short_fields",
+    "medium_words",
+    "full_speed_writes",
+    "unread_answers",
+    "come_and_go",
+]
 ONE_CLIENT_PICTURES = ["pings", "unsound", "new_volumes", "new_classes", "new_tenants", "new_keys"]
 
 
