--- a/ochrecourse/scheduler/rate_limits.py
+++ b/ochrecourse/scheduler/rate_limits.py
@@ -37,6 +37,7 @@
         "limit_depth",
         "limit_rate",
         "limit_tokens",
+        "open_requests",
         "own_rate",
         "priority_factor",
         "reserved_left",
@@ -59,11 +60,23 @@
         self.limit_rate = tenant.limit_rate / max(1, gateways)
         self.limit_depth = tenant.limit_depth / max(1, gateways)
         self.limit_tokens = 0.0  # units that may be sent under the limit
+        self.open_requests = 0  # of this gateway
         self.unwritten_units = 0.0  # drawn under the limit, but not yet written to a node
         self.own_rate = 0.0  # units per second served through this gateway
         self.total_rate = 0.0  # units per second served through all gateways
         self._refilled_at = started_at
 
+    def is_as_new(self, now: int) -> bool:
+        """Whether the volume has no open request, and all its buckets are full as those of a new one."""
+        if self.open_requests:
+            return False
+        self.refill(now)
+        largest = self._largest_request
+        reserved_full = self._reserved_rate and self._reserved_rate * self.share + largest
+        usual_full = self._usual_rate and self._usual_rate * self.share + largest
+        limit_full = not self.limit_rate or self.limit_tokens >= self.limit_depth - self.unwritten_units
+        return self.reserved_left >= reserved_full and self.usual_left >= usual_full and limit_full
+
     def refill(self, now: int) -> None:
         """Refills all buckets for the time since the last call."""
         elapsed = (now - self._refilled_at) / SECOND
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,7 +1,10 @@
 """The policies of the scheduler: concurrency bounds, fair queueing, admission, latency estimates, quotas."""
 
+import pytest
 from conftest import START, VALUES
 
+from ochrecourse.scheduler import scheduler
+from ochrecourse.scheduler.rate_limits import Volume
 from ochrecourse.scheduler.concurrency import (
     LOADED_NODE_UNITS,
     MAX_REQUESTS_PER_NODE,
@@ -14,6 +17,65 @@
 from ochrecourse.interface import Outcome, Ending, Health, Attempt, ListKind, NodeEntry, Reply
 
 
+def test_volumes_whose_state_is_that_of_a_new_one_are_forgotten(harness, monkeypatch):
+    """Guards against memory that grows with every volume that a client ever names."""
+    monkeypatch.setattr(scheduler, "MAX_VOLUMES", 50)
+    waiting = harness.submit(volume=7, tenant=1, units=8.0, timeout=1_000 * SECOND)  # never answered
+    assert [attempt.request_id for attempt in harness.decide_all(START + SECOND)] in ([waiting], [])
+    now = START + 100 * SECOND
+    for number in range(2_000):
+        now += 100 * MS
+        harness.submit(now, volume=1_000 + number, tenant=number % 3)
+        for decision in harness.decide_all(now):
+            if isinstance(decision, Attempt):
+                harness.end_attempt(decision, now)
+        harness.decide_all(now)
+    assert len(harness.scheduler.volumes) <= 60
+    assert all(not each.open_requests for number, each in harness.scheduler.volumes.items() if number != 7)
+
+
+def test_volumes_in_use_outlast_a_flood_of_new_ones(harness, monkeypatch):
+    """Guards against usual clients' volumes that lose what was learned of them beside a client that names new ones."""
+    monkeypatch.setattr(scheduler, "MAX_VOLUMES", 50)
+    now = START + 100 * SECOND
+    volumes = harness.scheduler.volumes
+    for number in range(1_000):
+        now += 100 * MS
+        harness.submit(now, volume=1_000 + number)
+        if number % 20 == 0:
+            harness.submit(now, volume=5)
+            used = volumes[5]
+        for decision in harness.decide_all(now):
+            if isinstance(decision, Attempt):
+                harness.end_attempt(decision, now)
+    harness.submit(now, volume=5)
+    assert volumes[5] is used and len(volumes) <= 60
+
+
+@pytest.mark.parametrize("tenant", [0, 1, 2])
+def test_a_volume_is_as_new_only_when_a_new_one_would_have_as_much(harness, tenant):
+    """Guards against a limit or a reserve that a forgotten volume gets anew."""
+    at = START + 20 * SECOND
+    harness.submit(at, volume=5, tenant=tenant, units=8.0)
+    for decision in harness.decide_all(at):
+        harness.end_attempt(decision, at)
+    harness.decide_all(at)
+    volume, states = harness.scheduler.volumes[5], []
+    for beat in range(400):
+        now = at + beat * 50 * MS
+        new = Volume(harness.scheduler.settings.tenant(tenant), 2, START)
+        new.share = volume.share
+        new.refill(now)
+        as_new = volume.is_as_new(now)
+        left, fresh = (
+            (each.reserved_left, each.usual_left, bool(each.limit_rate) and each.limit_tokens)
+            for each in (volume, new)
+        )
+        assert as_new is (left == fresh)
+        states.append(as_new)
+    assert states == sorted(states) and not states[0] and states[-1]
+
+
 def test_new_volume_resets_every_bound_to_the_even_split(harness):
     harness.submit(volume=1)
     harness.decide_all()
