Replies of nodes count in the memory of all connections while they come

Seen on reading the change again: a reply may have 1 MiB and there are hundreds of connections to nodes, so what is bounded for each was not for all. A partial reply is counted, and one of over 64 KiB for which the budget has no room ends its connection like any other breach.

--- a/ochrecourse/resp/codec.py
+++ b/ochrecourse/resp/codec.py
@@ -74,6 +74,10 @@
             self._position = 0
         self._buffer += data
 
+    def buffered_bytes(self) -> int:
+        """Returns how many received bytes are not parsed yet."""
+        return len(self._buffer) - self._position
+
     def has_unparsed_bytes(self) -> bool:
         """Whether the buffer holds bytes beyond the last complete message."""
         return len(self._buffer) > self._position
--- a/ochrecourse/resp/node_connection.py
+++ b/ochrecourse/resp/node_connection.py
@@ -19,6 +19,7 @@
 from ochrecourse.nodes.outgoing_attempt import OutgoingAttempt
 from ochrecourse.nodes.pool import PooledConnection
 from ochrecourse.resp.codec import ReplyParser, RespProtocolError
+from ochrecourse.resp.memory_budget import MAX_EXPECTED_REPLY_BYTES, MemoryAccount, MemoryBudget
 from ochrecourse.resp.commands import RespRequest, parse_reply
 
 REUSE_DELAY_SECONDS = 0.01  # between a reply and the next attempt; a duplicate reply may be some ms late
@@ -29,7 +30,11 @@
 
     transport: Any  # Twisted's interfaces carry no types
 
-    def __init__(self, dispatcher: Dispatcher, pooled: PooledConnection) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, pooled: PooledConnection, budget: MemoryBudget | None = None
+    ) -> None:
+        """`budget`: of all connections, for the reply that is being received; None for no limit."""
+        self.memory = MemoryAccount(budget or MemoryBudget())
         self.dispatcher = dispatcher
         self.pooled = pooled
         self.handshake_complete = False  # whether the connection has been open
@@ -92,12 +97,14 @@
         try:
             self.parser.feed(data)
             parsed = self.parser.next()
+            self._count_memory()
             if parsed is None:
                 return
             message, value = parse_reply(parsed[0])
         except RespProtocolError as error:
             self.dispatcher.counts[f"nodes' breaches: {error.code}"] += 1
             self.malformed_reply = True
+            self._discard_reply()
             self.abort()
             return
         self.attempt = None
@@ -109,6 +116,19 @@
             self.dispatcher.clock.callLater(REUSE_DELAY_SECONDS, self._reuse_delay_over)
         self.dispatcher.response_received(attempt, message, value, True)
 
+    def _count_memory(self) -> None:
+        """Counts the partial reply. Raises RespProtocolError if it is large and there is no memory for it."""
+        size = self.parser.buffered_bytes()
+        grown = size - self.memory.used
+        if size > MAX_EXPECTED_REPLY_BYTES and self.memory.overdraft(grown) > 0:
+            raise RespProtocolError("long_reply", "a reply for which there is no memory")
+        self.memory.add(grown)
+
+    def _discard_reply(self) -> None:
+        """Frees what was received of a reply, also if something keeps this connection."""
+        self.parser = ReplyParser()
+        self.memory.add(-self.memory.used)
+
     def _reuse_delay_over(self) -> None:
         # The event loop calls timers before it reads sockets: after it was blocked, input that arrived during
         # the delay may not be read yet. It is read before the calls of the next iteration.
@@ -128,9 +148,17 @@
         end = ConnectionEnd.IN_HEADER if partial else ConnectionEnd.BETWEEN_MESSAGES
         if self.malformed_reply:
             end = ConnectionEnd.VIOLATION
+        self._discard_reply()
         self.dispatcher.connection_closed(self, attempts, end)
 
 
-def dialler(network: Network) -> OpenConnection:
-    """Returns the function that opens connections to nodes that speak RESP2."""
-    return connection_opener(network, RespNodeConnection)
+def dialler(network: Network, budget: MemoryBudget | None = None) -> OpenConnection:
+    """Returns the function that opens connections to nodes that speak RESP2.
+
+    `budget`: the memory that all connections may use together, None for no limit.
+    """
+
+    def make_connection(dispatcher: Dispatcher, pooled: PooledConnection) -> RespNodeConnection:
+        return RespNodeConnection(dispatcher, pooled, budget)
+
+    return connection_opener(network, make_connection)
--- a/ochrecourse/resp/pipeline.py
+++ b/ochrecourse/resp/pipeline.py
@@ -148,7 +148,8 @@
     def complete_with_value(self, slot: ReplySlot, data: bytes) -> None:
         """Sets the value that answers a request; a failure in its place if it must wait without memory."""
         self.totals.budget.value_received(slot.request_class, slot.units, len(data))
-        must_wait = slot is not self.slots[0] or self.unsent_bytes > 0
+        is_next = bool(self.slots) and self.slots[0] is slot
+        must_wait = not is_next or self.unsent_bytes > 0
         if must_wait and self.memory.overdraft(len(data) - slot.memory_bytes) > 0:
             self.complete(slot, FAILED_REPLY)
         else:
--- a/ochrecourse/resp/server.py
+++ b/ochrecourse/resp/server.py
@@ -14,7 +14,7 @@
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.resp.client_connection import RespClientConnection
 from ochrecourse.resp.commands import RequestClasses
-from ochrecourse.resp.memory_budget import MemoryBudget, budget_bytes
+from ochrecourse.resp.memory_budget import MemoryBudget
 from ochrecourse.resp.input_turns import InputTurns
 from ochrecourse.resp.pipeline import PipelineTotals
 
@@ -34,13 +34,11 @@
 class ClientLimits:
     """Limits of all client connections together.
 
-    `eviction_threshold`: number of connections above which a new one evicts a silent or idle one;
-    `memory_mb`: of the whole process, in MB, 0 for no limit.
+    `eviction_threshold`: number of connections above which a new one evicts a silent or idle one.
     """
 
     max_connections: int
     eviction_threshold: int
-    memory_mb: int = 0
 
 
 class RespServerFactory(Factory):
@@ -56,6 +54,7 @@
         clock: Clock,
         request_classes: RequestClasses,
         limits: ClientLimits,
+        budget: MemoryBudget,
     ) -> None:
         self.gateway = gateway
         self.clock = clock
@@ -67,9 +66,7 @@
         self.silent: dict[RespClientConnection, None] = {}  # without a complete command so far
         self.idle: OrderedDict[RespClientConnection, None] = OrderedDict()  # without an open request
         self.lingering: dict[RespClientConnection, None] = {}  # closed by this side but not yet by the client
-        self.totals = PipelineTotals(
-            MemoryBudget(budget_bytes(limits.memory_mb, limits.max_connections)), clock
-        )
+        self.totals = PipelineTotals(budget, clock)
         self.input_turns = InputTurns(clock)
         self.counts: Counter[str] = Counter()  # client errors by code, for the log
         self.closed_connections = 0  # since the start
--- a/ochrecourse/service/gateway_service.py
+++ b/ochrecourse/service/gateway_service.py
@@ -18,6 +18,7 @@
 from ochrecourse.gateway.gateway import Gateway
 from ochrecourse.nodes.pool import PoolLimits
 from ochrecourse.resp.commands import RequestClasses
+from ochrecourse.resp.memory_budget import MemoryBudget, budget_bytes
 from ochrecourse.resp.node_connection import dialler
 from ochrecourse.resp.server import ClientLimits, RespServerFactory
 from ochrecourse.service.discovery import (
@@ -91,11 +92,12 @@
         self.stopped = False
         self._reload_timer: Timer | None = None
         shares = share_descriptors(start.max_open_files)
+        budget = MemoryBudget(budget_bytes(start.memory_mb, shares.clients))
         self.gateway = Gateway(
             start.values,
             start.seed,
             network,
-            dialler(network),
+            dialler(network, budget),
             start.name,
             travel=REPLY_TRAVEL_NS,
             limits=_pool_limits(start.values, shares.nodes),
@@ -105,7 +107,8 @@
             self.gateway,
             network,
             RequestClasses(start.values),
-            ClientLimits(shares.clients, start.max_open_files // EVICTION_DIVISOR, start.memory_mb),
+            ClientLimits(shares.clients, start.max_open_files // EVICTION_DIVISOR),
+            budget,
         )
         self.gateway.observers = [self.server]
         zones = [zone for zone in start.values.get("Zones", "").split(",") if zone]
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -308,3 +308,28 @@
     shop.loop.settle()
     assert all(read_available(client).startswith(b"-ERR unknown_command") for client, _ in clients)
     assert budget.used == 0
+
+
+def test_replies_of_nodes_that_never_end_are_bounded_for_all_connections(make_shop):
+    """Guards against memory of replies that is bounded for each connection to a node but not for all."""
+    size = codec.MAX_REPLY_BULK_BYTES
+    shop = make_shop(lambda arguments: b"*1\r\n$%d\r\n" % size + b"v" * (size // 2))
+    budget = shop.server.totals.budget
+    budget.limit = 600_000
+    clients = [shop.client() for _ in range(12)]
+    for number, (client, _) in enumerate(clients):
+        shop.send(client, read(number + 1, d=60_000))
+    for _ in range(300):
+        shop.loop.iterate()
+        buffered = sum(
+            each.parser.buffered_bytes() for each in shop.service.gateway.nodes.connections.values()
+        )
+        assert buffered <= budget.used <= 600_000 + len(clients) * 65_536
+    assert shop.service.gateway.nodes.counts["nodes' breaches: long_reply"]
+    for client, _ in clients:
+        client.close()
+    shop.loop.run_until(lambda: not shop.server.connections)
+    for peer in list(shop.node.peers):
+        peer.transport.abortConnection()
+    shop.loop.run_until(lambda: not shop.service.gateway.nodes.connections)
+    assert budget.used == 0
