--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -71,24 +71,34 @@
     assert not shop.open and not shop.service.gateway.in_flight and not shop.server.totals.open_request_ids
 
 
+def hold_opened_connections(shop, client, monkeypatch):
+    """Sends a request whose connection to the node opens; returns a function that reports this to the dispatcher."""
+    opened = []
+    connection_opened = Dispatcher.connection_opened
+    monkeypatch.setattr(Dispatcher, "connection_opened", lambda *arguments: opened.append(arguments))
+    shop.send(client, read(1, d=60_000))
+    shop.loop.run_until(lambda: opened)
+
+    def report():
+        monkeypatch.undo()
+        for arguments in opened:
+            connection_opened(*arguments)
+
+    return report
+
+
 @pytest.mark.parametrize("how", ["close", "half"])
 def test_an_attempt_whose_connection_opens_after_its_client_closed_is_not_written(
     make_shop, monkeypatch, how
 ):
     """Guards against attempts for nobody that waited for a connection to their node."""
     shop = make_shop(lambda arguments: None)
-    opened = []
-    connection_opened = Dispatcher.connection_opened
-    monkeypatch.setattr(Dispatcher, "connection_opened", lambda *arguments: opened.append(arguments))
     client, connection = shop.client()
-    shop.send(client, read(1, d=60_000))
-    shop.loop.run_until(lambda: opened)
+    report_opened = hold_opened_connections(shop, client, monkeypatch)
     connection.transport.pauseProducing()
     close_client(client, how)
     wait_for_close(connection)
-    monkeypatch.undo()
-    for arguments in opened:
-        connection_opened(*arguments)
+    report_opened()
     shop.loop.settle()
     assert not shop.node.commands and not shop.open and not shop.service.gateway.in_flight
 
@@ -104,16 +114,10 @@
 def test_an_attempt_waits_until_the_input_of_its_client_is_read(make_shop, monkeypatch):
     """Guards against a close that the client's system can't send, as the gateway does not read what is before it."""
     shop = make_shop()
-    opened = []
-    connection_opened = Dispatcher.connection_opened
-    monkeypatch.setattr(Dispatcher, "connection_opened", lambda *arguments: opened.append(arguments))
     client, connection = shop.client()
-    shop.send(client, read(1, d=60_000))
-    shop.loop.run_until(lambda: opened)
+    report_opened = hold_opened_connections(shop, client, monkeypatch)
     send_while_not_read(shop, client, connection, PING)
-    monkeypatch.undo()
-    for arguments in opened:
-        connection_opened(*arguments)
+    report_opened()
     shop.loop.settle()
     assert not shop.node.commands and shop.open == 1
     connection.transport.resumeProducing()
