--- a/ochrecourse/scheduler/rate_limits.py
+++ b/ochrecourse/scheduler/rate_limits.py
@@ -14,11 +14,15 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 from ochrecourse.common.time_units import MS, SECOND
-from ochrecourse.scheduler.settings import Quota, Tenant
+from ochrecourse.interface import Request
+from ochrecourse.scheduler.settings import Quota, SchedulerSettings, Tenant
 
 SERVED_RATE_HALVING_TIME = 2 * SECOND  # ns, halving time of a served rate; a few reporting periods of nodes
 SHARE_SMOOTHING = 0.125  # weight of the newest report in the running means
+MAX_VOLUMES = 4_096  # beyond which those are forgotten whose state is that of a new volume
 LN_2 = 0.69  # rounded; converts units to units per second, for a rate that decays with a halving time
 
 
@@ -135,3 +139,38 @@
     def written(self, units: float) -> None:
         """Records that units drawn under the limit were written, or never will be."""
         self.unwritten_units -= units
+
+
+class VolumeTable:
+    """The volumes of a gateway, those not used for longest first. `started_at`: when it started, ns."""
+
+    __slots__ = ("_settings", "_started_at", "by_id")
+
+    def __init__(self, settings: SchedulerSettings, started_at: int) -> None:
+        self._settings = settings
+        self._started_at = started_at
+        self.by_id: OrderedDict[int, Volume] = OrderedDict()
+
+    def find(self, request: Request, now: int) -> Volume:
+        """Returns the state of a request's volume. Raises `MissingSettingError` for its tenant."""
+        volume = self.by_id.get(request.volume)
+        if volume is None:
+            tenant = self._settings.tenant(request.tenant)
+            self._forget(now)
+            volume = self.by_id[request.volume] = Volume(tenant, request.gateways, self._started_at)
+        self.by_id.move_to_end(request.volume)
+        return volume
+
+    def _forget(self, now: int) -> None:
+        """Forgets volumes whose state is that of a new one, those not used for longest first.
+
+        Two are looked at for each new volume, so that the work is bounded and the number falls again.
+        """
+        for _ in range(2):
+            if len(self.by_id) < MAX_VOLUMES:
+                return
+            volume_id, volume = next(iter(self.by_id.items()))
+            if volume.is_as_new(now):
+                del self.by_id[volume_id]
+            else:
+                self.by_id.move_to_end(volume_id)
--- a/ochrecourse/scheduler/scheduler.py
+++ b/ochrecourse/scheduler/scheduler.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Mapping, Sequence
 
 from ochrecourse.common.time_units import SECOND
@@ -34,14 +34,13 @@
 from ochrecourse.scheduler.latency import ENDED_BY_GATEWAY, LatencyEstimator
 from ochrecourse.scheduler.placement import Placement, init_rotation_credit
 from ochrecourse.scheduler.random_source import RandomSource
-from ochrecourse.scheduler.rate_limits import Volume
+from ochrecourse.scheduler.rate_limits import VolumeTable
 from ochrecourse.scheduler.retries import MAY_STILL_RUN, RetryPolicy
 from ochrecourse.scheduler.settings import Idempotency, SchedulerSettings
 from ochrecourse.scheduler.slow_start import SlowStart
 from ochrecourse.scheduler.state import Flow, Node, PendingRequest, QueueHead
 from ochrecourse.scheduler.timers import NEVER, TimerQueue
 
-MAX_VOLUMES = 4_096  # beyond which those are forgotten whose state is that of a new volume
 IDLE_WAKE_INTERVAL = SECOND  # ns until `decide` must be called again when no timer is set
 
 
@@ -57,7 +56,6 @@
         settings = self.settings = SchedulerSettings(values)
         self._answer_margin = settings.safety.answer_margin
         self._now = now
-        self._started_at = now
         self.random_source = RandomSource(seed)
         self._timers = TimerQueue()
         self.latency = LatencyEstimator(settings, now)
@@ -70,7 +68,7 @@
         self.fair_queue = FairQueue()
         self.endpoints = Endpoints(settings.polls_endpoints)
         self.nodes = self.endpoints.nodes
-        self.volumes: OrderedDict[int, Volume] = OrderedDict()
+        self.volumes = VolumeTable(settings, now)
         self.requests: dict[int, PendingRequest] = {}
         self._review_queue: deque[PendingRequest] = deque()  # requests that need a decision
 
@@ -106,7 +104,7 @@
         """Adds a client request. Raises `MissingSettingError` for an invalid setting of its tenant."""
         self._now = now
         request.units = request.units or 1.0  # an unknown size counts as one unit
-        volume = self._volume_of(request)
+        volume = self.volumes.find(request, now)
         request_class = self.settings.request_classes[request.request_class]
         pace = self.latency.paces[request.request_class]
         pending = self.requests[request.id] = PendingRequest(request, request_class, pace, volume, now)
@@ -119,30 +117,6 @@
             self._advance_key(request.key)
         self._timers.add(pending.serve_by - self._answer_margin, timers.ReviewRequest(pending))
 
-    def _volume_of(self, request: Request) -> Volume:
-        """Returns the state of a request's volume; raises `MissingSettingError`."""
-        volume = self.volumes.get(request.volume)
-        if volume is None:
-            tenant = self.settings.tenant(request.tenant)
-            self._forget_volumes()
-            volume = self.volumes[request.volume] = Volume(tenant, request.gateways, self._started_at)
-        self.volumes.move_to_end(request.volume)
-        return volume
-
-    def _forget_volumes(self) -> None:
-        """Forgets volumes whose state is that of a new one, those not used for longest first.
-
-        Two are looked at for each new volume, so that the work is bounded and the number falls again.
-        """
-        for _ in range(2):
-            if len(self.volumes) < MAX_VOLUMES:
-                return
-            volume_id, volume = next(iter(self.volumes.items()))
-            if volume.is_as_new(self._now):
-                del self.volumes[volume_id]
-            else:
-                self.volumes.move_to_end(volume_id)
-
     def attempt_written(self, request_id: int, now: int) -> None:
         """Records that the outstanding attempt was handed to a connection: it may run from now on."""
         self._now = now
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,7 +3,7 @@
 import pytest
 from conftest import START, VALUES
 
-from ochrecourse.scheduler import scheduler
+from ochrecourse.scheduler import rate_limits
 from ochrecourse.scheduler.rate_limits import Volume
 from ochrecourse.scheduler.concurrency import (
     LOADED_NODE_UNITS,
@@ -19,7 +19,7 @@
 
 def test_volumes_whose_state_is_that_of_a_new_one_are_forgotten(harness, monkeypatch):
     """Guards against memory that grows with every volume that a client ever names."""
-    monkeypatch.setattr(scheduler, "MAX_VOLUMES", 50)
+    monkeypatch.setattr(rate_limits, "MAX_VOLUMES", 50)
     waiting = harness.submit(volume=7, tenant=1, units=8.0, timeout=1_000 * SECOND)  # never answered
     assert [attempt.request_id for attempt in harness.decide_all(START + SECOND)] in ([waiting], [])
     now = START + 100 * SECOND
@@ -30,15 +30,17 @@
             if isinstance(decision, Attempt):
                 harness.end_attempt(decision, now)
         harness.decide_all(now)
-    assert len(harness.scheduler.volumes) <= 60
-    assert all(not each.open_requests for number, each in harness.scheduler.volumes.items() if number != 7)
+    assert len(harness.scheduler.volumes.by_id) <= 60
+    assert all(
+        not each.open_requests for number, each in harness.scheduler.volumes.by_id.items() if number != 7
+    )
 
 
 def test_volumes_in_use_outlast_a_flood_of_new_ones(harness, monkeypatch):
     """Guards against usual clients' volumes that lose what was learned of them beside a client that names new ones."""
-    monkeypatch.setattr(scheduler, "MAX_VOLUMES", 50)
+    monkeypatch.setattr(rate_limits, "MAX_VOLUMES", 50)
     now = START + 100 * SECOND
-    volumes = harness.scheduler.volumes
+    volumes = harness.scheduler.volumes.by_id
     for number in range(1_000):
         now += 100 * MS
         harness.submit(now, volume=1_000 + number)
@@ -60,7 +62,7 @@
     for decision in harness.decide_all(at):
         harness.end_attempt(decision, at)
     harness.decide_all(at)
-    volume, states = harness.scheduler.volumes[5], []
+    volume, states = harness.scheduler.volumes.by_id[5], []
     for beat in range(400):
         now = at + beat * 50 * MS
         new = Volume(harness.scheduler.settings.tenant(tenant), 2, START)
@@ -135,7 +137,7 @@
     harness.submit(tenant=0, volume=9)
     busy = harness.decide_all()[0]
     requests = {harness.submit(tenant=tenant, volume=tenant): tenant for tenant in (1, 2) for _ in range(4)}
-    harness.scheduler.volumes[1].limit_rate = 0.0
+    harness.scheduler.volumes.by_id[1].limit_rate = 0.0
     order = []
     for step in range(1, 7):
         harness.end_attempt(busy, START + step * MS, took=MS)
@@ -215,7 +217,7 @@
 
 
 def test_reported_totals_change_a_volume_s_share(harness):
-    volume = harness.scheduler.volumes.get(1) or harness.scheduler.volumes.setdefault(
+    volume = harness.scheduler.volumes.by_id.get(1) or harness.scheduler.volumes.by_id.setdefault(
         1, harness.scheduler.requests[harness.submit()].volume
     )
     for _ in range(40):
--- a/tests/test_node_connections.py
+++ b/tests/test_node_connections.py
@@ -368,7 +368,7 @@
     request_id = harness.submit(start, tenant=1, units=8.0, timeout=timeout, shard=0)
     assert [decision.request_id for decision in harness.decide_all(start)] == [request_id]
     later = start + 10 * SECOND
-    volume = harness.scheduler.volumes[1]
+    volume = harness.scheduler.volumes.by_id[1]
     volume.refill(later)
     assert volume.limit_tokens == pytest.approx(12.0)
     harness.scheduler.attempt_written(request_id, later)
@@ -387,7 +387,7 @@
         harness.scheduler.attempt_written(attempt.request_id, start)
     harness.end_attempt(attempt, start + MS, ending)
     harness.decide_all(start + MS)
-    volume = harness.scheduler.volumes[1]
+    volume = harness.scheduler.volumes.by_id[1]
     assert volume.unwritten_units == 0.0
     volume.refill(start + 30 * SECOND)
     assert volume.limit_tokens == pytest.approx(20.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -148,7 +148,7 @@
     ]  # the bucket has 5 units; its maximum is 40 / 2
     harness.submit(START + 100 * SECOND, tenant=1, volume=9)
     harness.decide_all(START + 100 * SECOND)
-    assert harness.scheduler.volumes[9].limit_tokens == 18.0
+    assert harness.scheduler.volumes.by_id[9].limit_tokens == 18.0
 
 
 def test_missing_setting_is_named(make_harness):
