Three tests find the mistakes that they guard against, and one is new

Sixteen mistakes were made on purpose in a scratch copy; three were found by no test: a turn for each large command, the wait of an attempt for its client's input, and volumes in use that outlast others. Their tests are now narrower in what they accept; each mistake is found, and the tests pass without it.

--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -5,7 +5,6 @@
 
 import pytest
 from test_client_close import (
-    MAX_ITERATIONS,
     close_client,
     make_shop,
     read_available,
@@ -142,11 +141,11 @@
     send_while_not_read(shop, client, connection, PING)
     for peer in list(shop.node.peers):
         peer.transport.abortConnection()
-    for _ in range(MAX_ITERATIONS):
-        if not shop.service.gateway.in_flight:
-            break
+    aborted_at = shop.loop.now
+    while shop.service.gateway.in_flight:
         shop.loop.now += MAX_INPUT_WAIT / SECOND / 4
         shop.loop.settle()
+        assert shop.loop.now < aborted_at + 5, "an attempt waits for its client's deadline"
     assert len(shop.node.commands) == sent
     shop.node.reply = success_reply
     shop.serve(other, 2)
@@ -242,3 +241,23 @@
     shop.loop.now += KEPT_SECONDS
     shop.send(other, read(1, d=60_000))
     shop.loop.run_until(lambda: len(shop.node.commands) == 3)
+
+
+def test_an_attempt_waits_for_input_no_longer_than_a_close_may_take_to_be_noticed(make_shop):
+    """Guards against attempts that hold a place at their node until the deadline of a client that never pauses."""
+    shop = make_shop()
+    client, connection = shop.client()
+    shop.serve(client, 1)
+    shop.loop.now += 1
+    shop.loop.settle()  # the connection to the node may be used again
+    states = [ClientInput.UNREAD, ClientInput.READ]  # when the attempt is to be written, when it is submitted
+    connection.client_input = lambda: states.pop() if len(states) > 1 else states[0]
+    shop.send(client, read(2, d=60_000))
+    shop.loop.settle()
+    nodes = shop.service.gateway.nodes
+    shop.loop.now += MAX_INPUT_WAIT / SECOND * 0.9
+    shop.loop.settle()
+    assert len(nodes.in_flight) == 1 and len(shop.node.commands) == 1
+    shop.loop.now += MAX_INPUT_WAIT / SECOND * 0.2
+    shop.loop.settle()
+    assert not nodes.in_flight and len(shop.node.commands) == 1
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -78,14 +78,15 @@
 def test_large_commands_that_follow_each_other_take_a_turn_each(make_shop, monkeypatch):
     """Guards against a flood of large writes that leaves little time to others, and whose commands are few."""
     shop = make_shop(lambda arguments: None, sockets=512)
-    floods = [shop.client() for _ in range(20)]
+    floods = [shop.client() for _ in range(40)]
     for number, (client, _) in enumerate(floods):
         client.sendall(b"".join(write(100 * number + i, body=b"x" * 20_000, d=60_000) for i in range(1, 6)))
+    shop.loop.run_until(lambda: all(each.pipeline.slots for _, each in floods))
     turns = input_turns.COMMANDS_PER_ITERATION // input_turns.COMMANDS_PER_TURN
-    handled = before = 0
+    before = sum(len(each.pipeline.slots) for _, each in floods)
     for _ in range(400):
         shop.loop.iterate()
         handled = sum(len(each.pipeline.slots) for _, each in floods)
-        assert handled - before <= len(floods) + turns
+        assert handled - before <= 2 * turns < len(floods)
         before = handled
-    assert handled == 5 * len(floods)
+    assert before == 5 * len(floods)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -41,12 +41,13 @@
     monkeypatch.setattr(rate_limits, "MAX_VOLUMES", 50)
     now = START + 100 * SECOND
     volumes = harness.scheduler.volumes.by_id
+    harness.submit(now, volume=5)
+    used = volumes[5]
     for number in range(1_000):
         now += 100 * MS
         harness.submit(now, volume=1_000 + number)
         if number % 20 == 0:
             harness.submit(now, volume=5)
-            used = volumes[5]
         for decision in harness.decide_all(now):
             if isinstance(decision, Attempt):
                 harness.end_attempt(decision, now)
